--- /dev/null
+++ b/coltsfoot/config/fleet_settings.cc
@@ -0,0 +1,105 @@
+#include "coltsfoot/config/fleet_settings.h"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace coltsfoot {
+namespace {
+
+constexpr std::size_t most_file_bytes = 256 * 1024;
+constexpr duration shortest_duration{100};
+constexpr duration longest_duration{600'000};
+
+struct text_key {
+  std::string_view name;
+  std::string fleet_settings::* member;
+  bool is_address;
+};
+constexpr std::array text_keys{
+    text_key{"node", &fleet_settings::node, false},
+    text_key{"zone", &fleet_settings::zone, false},
+    text_key{"caller_address", &fleet_settings::caller_address, true},
+    text_key{"readiness_address", &fleet_settings::readiness_address, true},
+    text_key{"peer_address", &fleet_settings::peer_address, true},
+    text_key{"metrics_address", &fleet_settings::metrics_address, true},
+    text_key{"store_address", &fleet_settings::store_address, true}};
+
+struct duration_key {
+  std::string_view name;  // in milliseconds
+  duration fleet_settings::* member;
+};
+constexpr std::array duration_keys{
+    duration_key{"longest_lease_ms", &fleet_settings::longest_lease},
+    duration_key{"shutdown_grace_ms", &fleet_settings::shutdown_grace}};
+
+bool is_address(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return false;
+  const auto port = text.substr(colon + 1);
+  std::uint16_t value = 0;
+  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), value);
+  return error == std::errc{} && end == port.data() + port.size() && value > 0;
+}
+
+std::optional<config_error> read_text(const YAML::Node& root, const std::string& file,
+                                      const text_key& key, fleet_settings& out) {
+  const auto node = root[std::string{key.name}];
+  if (!node) return error_at(root, file, key.name, "is missing");
+  if (!node.IsScalar() || node.Scalar().empty()) {
+    return error_at(node, file, key.name, "is no text");
+  }
+  if (key.is_address && !is_address(node.Scalar())) {
+    return error_at(node, file, key.name, "is no address of the form ip:port");
+  }
+  out.*key.member = node.Scalar();
+  return std::nullopt;
+}
+
+std::optional<config_error> read_duration(const YAML::Node& root, const std::string& file,
+                                          const duration_key& key, fleet_settings& out) {
+  const auto node = root[std::string{key.name}];
+  if (!node) return std::nullopt;
+  std::int64_t value = 0;
+  if (!YAML::convert<std::int64_t>::decode(node, value)) {
+    return error_at(node, file, key.name, "is no whole number of milliseconds");
+  }
+  if (duration{value} < shortest_duration || duration{value} > longest_duration) {
+    return error_at(node, file, key.name, "is out of range (100 to 600000 ms)");
+  }
+  out.*key.member = duration{value};
+  return std::nullopt;
+}
+
+}  // namespace
+
+tl::expected<fleet_settings, config_error> parse_fleet_settings(std::string_view text,
+                                                                const std::string& file) {
+  auto root = read_yaml(text, {.file = file, .max_bytes = most_file_bytes});
+  if (!root) return tl::unexpected(std::move(root.error()));
+  std::vector<std::string_view> names;
+  names.reserve(text_keys.size() + duration_keys.size());
+  for (const auto& key : text_keys) names.push_back(key.name);
+  for (const auto& key : duration_keys) names.push_back(key.name);
+  if (auto error = check_map(*root, file, names)) return tl::unexpected(std::move(*error));
+  fleet_settings out;
+  for (const auto& key : text_keys) {
+    if (auto error = read_text(*root, file, key, out)) return tl::unexpected(std::move(*error));
+  }
+  for (const auto& key : duration_keys) {
+    if (auto error = read_duration(*root, file, key, out)) {
+      return tl::unexpected(std::move(*error));
+    }
+  }
+  return out;
+}
+
+tl::expected<fleet_settings, config_error> load_fleet_settings(const std::string& path) {
+  auto text = read_file(path, most_file_bytes);
+  if (!text) return tl::unexpected(std::move(text.error()));
+  return parse_fleet_settings(*text, path);
+}
+
+}  // namespace coltsfoot
--- /dev/null
+++ b/coltsfoot/config/fleet_settings.h
@@ -0,0 +1,33 @@
+// Settings of a job node, read from one YAML file.
+//
+//   auto settings = load_fleet_settings("fleet.yaml");
+//   if (!settings) report(to_string(settings.error()));
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "coltsfoot/base/time.h"
+#include "coltsfoot/config/yaml_input.h"
+
+namespace coltsfoot {
+
+struct fleet_settings {
+  std::string node;               // name of this node, unique in the fleet
+  std::string zone;               // availability zone
+  std::string caller_address;     // "ip:port" for callers
+  std::string readiness_address;  // "ip:port" of the readiness probe
+  std::string peer_address;       // "ip:port" for other nodes
+  std::string metrics_address;    // "ip:port" of /metrics
+  std::string store_address;      // "ip:port" of the metadata store
+  duration longest_lease{10'000};  // that a worker grants
+  duration shutdown_grace{6'000};  // from the stop signal to the kill
+};
+
+// All keys that have no default must be given. Unknown keys are errors.
+tl::expected<fleet_settings, config_error> parse_fleet_settings(std::string_view text,
+                                                                const std::string& file);
+tl::expected<fleet_settings, config_error> load_fleet_settings(const std::string& path);
+
+}  // namespace coltsfoot
--- /dev/null
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -0,0 +1,319 @@
+#include "coltsfoot/daemon/fleet_daemon.h"
+
+#include <fmt/format.h>
+#include <time.h>
+
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <unordered_map>
+
+#include "coltsfoot/daemon/fleet_metrics.h"
+#include "coltsfoot/daemon/mailbox.h"
+#include "coltsfoot/jobs/job_node.h"
+#include "coltsfoot/observe/exposition.h"
+#include "coltsfoot/observe/logger.h"
+#include "coltsfoot/transport/http_client.h"
+#include "coltsfoot/transport/http_server.h"
+#include "coltsfoot/transport/internal/rest_listener.h"
+#include "coltsfoot/transport/peer_client.h"
+#include "coltsfoot/transport/peer_server.h"
+#include "platform/caller_api.h"
+#include "platform/formats.h"
+#include "platform/store_client.h"
+#include "platform/worker_client.h"
+
+namespace coltsfoot {
+namespace {
+
+constexpr duration tick_interval{25};
+constexpr duration metrics_interval{1'000};
+
+// Part of the grace period that is left for closing the sockets.
+constexpr duration exit_margin{1'500};
+
+using node_mailbox = basic_mailbox<jobs::node_event>;
+
+// Counts the time in which the machine was suspended, so that a pause is noticed.
+time_point present_time() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point{std::chrono::duration_cast<duration>(std::chrono::seconds{now.tv_sec} +
+                                                         std::chrono::nanoseconds{now.tv_nsec})};
+}
+
+wall_time present_wall_time() {
+  return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+}
+
+listen_address to_listen_address(const std::string& address) {
+  const auto colon = address.rfind(':');
+  return {.ip = address.substr(0, colon),
+          .port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+}
+
+// Responders of callers' requests until they are answered.
+class open_calls {
+ public:
+  call_id add(internal::rest_responder respond) {
+    const std::lock_guard lock{mutex_};
+    const call_id call = ++last_;
+    responders_.emplace(call, std::move(respond));
+    return call;
+  }
+  internal::rest_responder take(call_id call) {
+    const std::lock_guard lock{mutex_};
+    const auto found = responders_.find(call);
+    if (found == responders_.end()) return {};
+    auto respond = std::move(found->second);
+    responders_.erase(found);
+    return respond;
+  }
+
+ private:
+  std::mutex mutex_;
+  call_id last_ = 0;
+  std::unordered_map<call_id, internal::rest_responder> responders_;
+};
+
+// A text that one thread writes and another reads.
+class shared_text {
+ public:
+  void set(std::string text) {
+    const std::lock_guard lock{mutex_};
+    text_ = std::move(text);
+  }
+  std::string get() const {
+    const std::lock_guard lock{mutex_};
+    return text_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::string text_;
+};
+
+// Carries out the commands of the node.
+class fleet_executor {
+ public:
+  fleet_executor(platform::store_client& store, platform::worker_client& workers,
+                 peer_client& peers, peer_server& peer_requests, open_calls& calls,
+                 node_mailbox& events)
+      : store_(store),
+        workers_(workers),
+        peers_(peers),
+        peer_requests_(peer_requests),
+        calls_(calls),
+        events_(events) {}
+
+  void execute(jobs::node_command command) {
+    std::visit([this](auto&& c) { run(std::forward<decltype(c)>(c)); }, std::move(command));
+  }
+  bool ready() const { return ready_; }
+  bool ended() const { return ended_; }
+
+ private:
+  void run(const jobs::answer_caller_call& c) {
+    auto respond = calls_.take(c.call);
+    if (!respond) return;
+    auto response = platform::encode_caller_answer(c.answer);
+    // A node that is leaving has its callers connect elsewhere.
+    response.close = leaving_;
+    respond(std::move(response));
+  }
+  void run(const jobs::append_to_jobs& c) {
+    store_.append(c, [this, call = c.call](jobs::append_verdict verdict) {
+      events_.push(jobs::append_ended{.call = call, .verdict = verdict});
+    });
+  }
+  void run(const jobs::read_topic& c) {
+    store_.read(c, [this, call = c.call, topic = c.topic](auto page) {
+      events_.push(jobs::topic_read{.call = call, .topic = topic, .page = std::move(page)});
+    });
+  }
+  void run(const jobs::give_order& c) {
+    workers_.send(c, [this](jobs::node_event answer) { events_.push(std::move(answer)); });
+  }
+  void run(const jobs::ask_peer& c) {
+    peers_.send(c.address, c.request, c.timeout, [this, call = c.call](peer_result result) {
+      events_.push(jobs::peer_answered{.call = call, .result = std::move(result)});
+    });
+  }
+  void run(const jobs::answer_peer& c) { peer_requests_.reply(c.call, c.reply); }
+  void run(const jobs::refuse_peer& c) { peer_requests_.refuse(c.call); }
+  void run(const jobs::show_ready& c) {
+    ready_ = c.ready;
+    leaving_ = leaving_ || !c.ready;
+    if (c.ready) leaving_ = false;
+  }
+  void run(const jobs::end_process& /*c*/) { ended_ = true; }
+
+  platform::store_client& store_;
+  platform::worker_client& workers_;
+  peer_client& peers_;
+  peer_server& peer_requests_;
+  open_calls& calls_;
+  node_mailbox& events_;
+  std::atomic<bool> ready_ = false;
+  bool leaving_ = false;
+  std::atomic<bool> ended_ = false;
+};
+
+void run_control_thread(jobs::job_node& node, node_mailbox& events, fleet_executor& executor,
+                        shared_text& metrics) {
+  auto next_tick = present_time();
+  auto next_metrics = next_tick;
+  while (!executor.ended()) {
+    const auto now = present_time();
+    std::optional<jobs::node_event> event;
+    if (now >= next_tick) {
+      next_tick = now + tick_interval;
+      event = jobs::time_passed{};
+    } else {
+      event = events.pop_until(std::chrono::steady_clock::now() + (next_tick - now));
+      if (!event) continue;
+    }
+    for (auto& c : node.handle(std::move(*event), present_time(), present_wall_time())) {
+      executor.execute(std::move(c));
+    }
+    if (now >= next_metrics) {
+      next_metrics = now + metrics_interval;
+      metrics.set(fleet_metrics_page(node));
+    }
+  }
+}
+
+jobs::job_node_options node_options(const fleet_settings& settings) {
+  jobs::job_node_options options{
+      .node = settings.node,
+      .life = (std::uint64_t{std::random_device{}()} << 20U) ^ std::random_device{}(),
+      .peer_address = settings.peer_address,
+      .codec = {.config = platform::decode_config,
+                .worker = platform::decode_worker,
+                .config_key = std::string{platform::config_key}}};
+  options.owner.lease = std::min(options.owner.lease, settings.longest_lease);
+  options.drain_time =
+      std::max(settings.shutdown_grace - exit_margin, settings.shutdown_grace / 2);
+  return options;
+}
+
+sigset_t block_signals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  sigaddset(&signals, SIGUSR1);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+void reload_settings(const std::string& path) {
+  const auto settings = load_fleet_settings(path);
+  if (!settings) {
+    log_line(severity::error,
+             "event=settings_rejected detail=" + log_value(to_string(settings.error())));
+    return;
+  }
+  log_line(severity::info, "event=settings_read note=" + log_value("addresses hold until restart"));
+}
+
+// Waits until the process is to end. The control thread sends SIGUSR1 when it has ended.
+void wait_for_end(const sigset_t& signals, node_mailbox& events, const std::string& path) {
+  int received = 0;
+  while (sigwait(&signals, &received) == 0) {
+    log_line(severity::info, fmt::format("event=signal number={}", received));
+    if (received == SIGUSR1) return;
+    if (received == SIGHUP) {
+      reload_settings(path);
+    } else {
+      events.push(jobs::shutdown_asked{});
+    }
+  }
+}
+
+bool started(const tl::expected<void, transport_error>& result, std::string_view what) {
+  if (!result) {
+    log_line(severity::error, fmt::format("event=start_failed part={} detail={}", what,
+                                          log_value(result.error().message)));
+  }
+  return result.has_value();
+}
+
+}  // namespace
+
+int run_fleet_daemon(const fleet_settings& settings, const std::string& settings_path) {
+  start_logging({.node = settings.node});
+  const sigset_t signals = block_signals();
+  const log_sink sink = [](severity level, const std::string& text) { log_line(level, text); };
+  log_line(severity::info, fmt::format("event=starting version={} zone={} callers={} store={}",
+                                       COLTSFOOT_VERSION, log_value(settings.zone),
+                                       settings.caller_address, settings.store_address));
+  node_mailbox events;
+  open_calls calls;
+  shared_text metrics;
+  http_client http{{.connect_timeout = duration{400}}};
+  platform::store_client store{http, {.address = settings.store_address}, sink};
+  platform::worker_client workers{http};
+  peer_client peers{{.connect_timeout = duration{300}, .longest_backoff = duration{200}}, sink};
+  const auto peer_listen = to_listen_address(settings.peer_address);
+  peer_server peer_requests{{.address = peer_listen.ip, .port = peer_listen.port},
+                            [&events](call_id call, peer_request request) {
+                              events.push(
+                                  jobs::peer_asked{.call = call, .request = std::move(request)});
+                            },
+                            sink};
+  fleet_executor executor{store, workers, peers, peer_requests, calls, events};
+
+  const auto caller_listen = to_listen_address(settings.caller_address);
+  internal::rest_listener callers{
+      {.ip = caller_listen.ip, .port = caller_listen.port, .max_body_bytes = 512 * 1024},
+      [&](const internal::rest_request& request, const internal::rest_responder& respond) {
+        const auto call = calls.add(respond);
+        auto decoded = platform::decode_caller_request(request, call);
+        if (decoded) {
+          events.push(std::move(*decoded));
+        } else if (auto own = calls.take(call)) {
+          own({.status = 405});
+        }
+      }};
+  const auto readiness_listen = to_listen_address(settings.readiness_address);
+  internal::rest_listener readiness{
+      {.ip = readiness_listen.ip, .port = readiness_listen.port},
+      [&](const internal::rest_request& request, const internal::rest_responder& respond) {
+        const bool known = request.target == platform::readiness_path;
+        respond({.status = !known ? 404 : executor.ready() ? 200 : 503});
+      }};
+  const auto metrics_listen = to_listen_address(settings.metrics_address);
+  internal::rest_listener metrics_server{
+      {.ip = metrics_listen.ip, .port = metrics_listen.port},
+      [&](const internal::rest_request&, const internal::rest_responder& respond) {
+        respond({.headers = {{.name = "Content-Type",
+                              .value = std::string{exposition::content_type}}},
+                 .body = metrics.get()});
+      }};
+  if (!started(peer_requests.start(), "peer_server") || !started(callers.start(), "callers") ||
+      !started(readiness.start(), "readiness") || !started(metrics_server.start(), "metrics")) {
+    return 1;
+  }
+  jobs::job_node node{node_options(settings), present_time(), sink};
+  std::thread control{[&] {
+    run_control_thread(node, events, executor, metrics);
+    kill(getpid(), SIGUSR1);
+  }};
+  wait_for_end(signals, events, settings_path);
+  control.join();
+  callers.stop();
+  readiness.stop();
+  metrics_server.stop();
+  peers.stop();
+  http.stop();
+  peer_requests.stop();
+  log_line(severity::info, "event=stopped");
+  return 0;
+}
+
+}  // namespace coltsfoot
--- /dev/null
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -0,0 +1,45 @@
+#include "coltsfoot/daemon/fleet_metrics.h"
+
+#include "coltsfoot/observe/exposition.h"
+
+namespace coltsfoot {
+namespace {
+
+void add_owner_metrics(exposition& page, const jobs::job_owner& owner) {
+  const auto& stats = owner.stats();
+  page.add_counter("task_starts_total", stats.starts);
+  page.add_counter("task_ends_total", stats.ends_done, exposition_label("end", "done"));
+  page.add_counter("task_ends_total", stats.ends_failed, exposition_label("end", "failed"));
+  page.add_counter("task_ends_total", stats.ends_other, exposition_label("end", "other"));
+  page.add_counter("runs_lost_total", stats.runs_lost);
+  page.add_counter("starts_rejected_total", stats.rejected);
+  page.add_counter("orders_unanswered_total", stats.unanswered);
+  page.add_counter("jobs_ended_total", stats.completed, exposition_label("state", "completed"));
+  page.add_counter("jobs_ended_total", stats.failed, exposition_label("state", "failed"));
+  page.add_gauge("waiting_jobs", static_cast<double>(owner.waiting_jobs()));
+  page.add_gauge("workers", static_cast<double>(owner.links().size()));
+}
+
+}  // namespace
+
+std::string fleet_metrics_page(const jobs::job_node& node) {
+  exposition page;
+  const auto& stats = node.stats();
+  page.add_gauge("is_owner", node.is_owner() ? 1 : 0);
+  page.add_gauge("jobs", static_cast<double>(node.table().size()));
+  page.add_gauge("config_version", static_cast<double>(node.config_version()));
+  for (const auto& [verdict, count] : stats.answers) {
+    page.add_counter("answers_total", count, exposition_label("verdict", name_of(verdict)));
+  }
+  page.add_counter("appends_total", stats.appends);
+  page.add_counter("appends_failed_total", stats.appends_failed);
+  page.add_counter("reads_failed_total", stats.reads_failed);
+  page.add_counter("malformed_records_total", stats.malformed_records);
+  page.add_counter("claims_total", stats.claims);
+  page.add_counter("takeovers_total", stats.takeovers);
+  page.add_counter("step_downs_total", stats.step_downs);
+  if (const auto* owner = node.owner()) add_owner_metrics(page, *owner);
+  return page.text();
+}
+
+}  // namespace coltsfoot
--- /dev/null
+++ b/coltsfoot/daemon/fleet_metrics.h
@@ -0,0 +1,12 @@
+// The text of /metrics of a job node.
+#pragma once
+
+#include <string>
+
+#include "coltsfoot/jobs/job_node.h"
+
+namespace coltsfoot {
+
+std::string fleet_metrics_page(const jobs::job_node& node);
+
+}  // namespace coltsfoot
--- a/coltsfoot/daemon/mailbox.h
+++ b/coltsfoot/daemon/mailbox.h
@@ -16,9 +16,10 @@
 
 namespace coltsfoot {
 
-class mailbox {
+template <typename Event>
+class basic_mailbox {
  public:
-  void push(event e) {
+  void push(Event e) {
     {
       const std::lock_guard lock{mutex_};
       events_.push_back(std::move(e));
@@ -27,12 +28,12 @@
   }
 
   // Returns the oldest event, or nothing if none arrives before `deadline`.
-  std::optional<event> pop_until(std::chrono::steady_clock::time_point deadline) {
+  std::optional<Event> pop_until(std::chrono::steady_clock::time_point deadline) {
     std::unique_lock lock{mutex_};
     if (!filled_.wait_until(lock, deadline, [this] { return !events_.empty(); })) {
       return std::nullopt;
     }
-    event e = std::move(events_.front());
+    Event e = std::move(events_.front());
     events_.pop_front();
     return e;
   }
@@ -40,7 +41,9 @@
  private:
   std::mutex mutex_;
   std::condition_variable filled_;
-  std::deque<event> events_;
+  std::deque<Event> events_;
 };
 
+using mailbox = basic_mailbox<event>;
+
 }  // namespace coltsfoot
--- /dev/null
+++ b/coltsfoot/jobs/job.cc
@@ -0,0 +1,52 @@
+#include "coltsfoot/jobs/job.h"
+
+#include <algorithm>
+
+namespace coltsfoot::jobs {
+namespace {
+
+std::optional<std::string> fault_of_step(const step_spec& step, std::size_t number) {
+  const auto name = "step " + std::to_string(number) + ": ";
+  if (step.count == 0) return name + "has no tasks";
+  if (step.demand.is_negative()) return name + "asks for a negative amount";
+  for (const auto earlier : step.depends_on) {
+    if (earlier >= number) return name + "depends on a step that is not earlier";
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::string> fault_of(const job_spec& spec) {
+  if (spec.payload.size() > most_payload_bytes) return "specification is too long";
+  if (spec.steps.empty()) return "has no steps";
+  std::uint64_t tasks = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    if (auto fault = fault_of_step(spec.steps[i], i)) return fault;
+    tasks += spec.steps[i].count;
+  }
+  if (tasks * spec.occurrences() > most_tasks_per_job) return "has too many tasks";
+  if (spec.scheduled() && spec.interval < duration{0}) return "has a negative interval";
+  return std::nullopt;
+}
+
+const queue_config* fleet_config::match(std::string_view host, std::string_view path) const {
+  const queue_config* best = nullptr;
+  for (const auto& queue : queues) {
+    if (queue.host != host || !path.starts_with(queue.path_prefix)) continue;
+    if (best == nullptr || queue.path_prefix.size() > best->path_prefix.size()) best = &queue;
+  }
+  return best;
+}
+
+const queue_config* fleet_config::find(const queue_id& id) const {
+  const auto found = std::find_if(queues.begin(), queues.end(),
+                                  [&id](const auto& queue) { return queue.id == id; });
+  return found == queues.end() ? nullptr : &*found;
+}
+
+bool worker_listing::has_label(std::string_view label) const {
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/job_owner.cc
@@ -0,0 +1,421 @@
+#include "coltsfoot/jobs/job_owner.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "coltsfoot/base/log_text.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+// Bounds the work of one placing pass when nothing fits.
+constexpr std::size_t most_unplaced_jobs = 64;
+
+// Longest chain of estimated work through the steps.
+duration longest_chain(const job_spec& spec) {
+  std::vector<duration> ends;
+  ends.reserve(spec.steps.size());
+  duration longest{0};
+  for (const auto& step : spec.steps) {
+    duration begin{0};
+    for (const auto earlier : step.depends_on) begin = std::max(begin, ends[earlier]);
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+bool ends_by_itself(const job_spec& spec) {
+  return std::none_of(spec.steps.begin(), spec.steps.end(),
+                      [](const auto& step) { return step.long_running; });
+}
+
+}  // namespace
+
+job_owner::job_owner(job_owner_options options, std::uint64_t fence, job_table& table,
+                     time_point now, wall_time wall, log_sink log)
+    : options_(options),
+      fence_(fence),
+      table_(table),
+      log_(std::move(log)),
+      wall_(wall),
+      inherited_until_(now + lease_clock::longest(options.lease)) {
+  adopt(now);
+}
+
+void job_owner::log(severity level, const std::string& text) const {
+  if (log_) log_(level, text);
+}
+
+// Takes over the state that the journal describes: runs of a former owner may run, or start late.
+void job_owner::adopt(time_point now) {
+  std::size_t runs = 0;
+  std::size_t open = 0;
+  for (auto& [id, j] : table_) {
+    if (j.ended()) continue;
+    ++open;
+    for (task_index i = 0; i < j.tasks.size(); ++i) {
+      const auto& task = j.tasks[i];
+      if (task.phase != task_phase::assigned) continue;
+      ++runs;
+      auto& link = links_
+                       .try_emplace(task.life.worker, task.life.worker, task.life.incarnation,
+                                    inherited_until_)
+                       .first->second;
+      if (link.life != task.life) {
+        // The journal knows a later life of the worker: the former one has ended.
+        link.life.incarnation = std::max(link.life.incarnation, task.life.incarnation);
+      }
+      const auto& step = j.step_of(j.ref_of(i));
+      link.add({.job = id, .index = i},
+               {.run = task.run,
+                .phase = start_phase::sent,
+                .doubtful = true,
+                .next_try = now + options_.order_timeout,
+                .progressed_at = now,
+                .checkpoint = task.checkpoint,
+                .demand = {.millicores = step.fill ? 0 : step.demand.millicores,
+                           .memory_mb = step.demand.memory_mb,
+                           .accelerators = step.demand.accelerators},
+                .fill_millicores = step.fill ? step.demand.millicores : 0,
+                .serves = step.serves()});
+    }
+    if (j.cancel_requested) cancelling_.insert(id);
+    if (j.accepted.spec.scheduled()) scheduled_.insert(id);
+    refresh_waiting(j);
+  }
+  log(severity::info, fmt::format("event=jobs_taken_over fence={} open_jobs={} runs={}", fence_,
+                                  open, runs));
+}
+
+void job_owner::mark_changed(const job& j) {
+  dirty_.insert(j.accepted.id);
+  next_.jobs.insert(j.accepted.id);
+}
+
+wall_time job_owner::due_time(const job& j) const {
+  const auto& a = j.accepted;
+  const auto chain = longest_chain(a.spec);
+  const auto allowed = duration{static_cast<std::int64_t>(static_cast<double>(chain.count()) *
+                                                          a.slack_factor)} +
+                       a.latency_target;
+  return (a.spec.scheduled() ? a.spec.first_start : a.accepted_at) + allowed;
+}
+
+bool job_owner::occurrence_due(const job& j, std::uint32_t occurrence) const {
+  const auto& spec = j.accepted.spec;
+  return !spec.scheduled() || spec.first_start + spec.interval * occurrence <= wall_;
+}
+
+bool job_owner::has_waiting_task(const job& j) const {
+  const auto& steps = j.accepted.spec.steps;
+  task_index first = 0;
+  for (std::uint32_t occurrence = 0; occurrence < j.accepted.spec.occurrences(); ++occurrence) {
+    if (!occurrence_due(j, occurrence)) return false;
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+      const auto last = first + steps[step].count;
+      if (j.step_ready(occurrence, step)) {
+        for (auto i = first; i < last; ++i) {
+          if (j.tasks[i].phase == task_phase::waiting) return true;
+        }
+      }
+      first = last;
+    }
+  }
+  return false;
+}
+
+void job_owner::refresh_waiting(const job& j) {
+  const auto& id = j.accepted.id;
+  const bool waits = !j.ended() && !j.cancel_requested && has_waiting_task(j);
+  const auto found = places_.find(id);
+  if (waits && found == places_.end()) {
+    const queue_place place{j.accepted.priority, due_time(j), id};
+    places_.emplace(id, place);
+    waiting_.insert(place);
+  } else if (!waits && found != places_.end()) {
+    waiting_.erase(found->second);
+    places_.erase(found);
+  }
+}
+
+void job_owner::on_accepted(const job_id& id) {
+  auto* j = table_.find(id);
+  if (j == nullptr || j->ended()) return;
+  if (j->accepted.spec.scheduled()) scheduled_.insert(id);
+  refresh_waiting(*j);
+}
+
+void job_owner::on_cancelled(const job_id& id, time_point now) {
+  auto* j = table_.find(id);
+  if (j == nullptr || j->ended()) return;
+  cancelling_.insert(id);
+  refresh_waiting(*j);
+  stop_runs_of(id, now);
+  settle_cancelled(*j, now);
+}
+
+void job_owner::stop_runs_of(const job_id& id, time_point now) {
+  for (auto& [worker, link] : links_) {
+    std::vector<task_key> keys;
+    for (const auto& [key, run] : link.runs) {
+      if (key.job == id) keys.push_back(key);
+    }
+    for (const auto& key : keys) stop_run(link, key, now);
+  }
+}
+
+void job_owner::settle_cancelled(job& j, time_point now) {
+  if (j.ended() || !j.cancel_requested) return;
+  const bool running = std::any_of(j.tasks.begin(), j.tasks.end(), [](const auto& task) {
+    return task.phase == task_phase::assigned;
+  });
+  if (!running) finish(j, job_outcome::cancelled, now);
+}
+
+void job_owner::finish(job& j, job_outcome outcome, time_point now) {
+  const auto id = j.accepted.id;
+  j.outcome = outcome;
+  j.ended_at = wall_;
+  j.tasks = {};
+  j.open_tasks = {};
+  cancelling_.erase(id);
+  scheduled_.erase(id);
+  mark_changed(j);
+  refresh_waiting(j);
+  stop_runs_of(id, now);
+  if (outcome == job_outcome::completed) ++stats_.completed;
+  if (outcome == job_outcome::failed) ++stats_.failed;
+  log(severity::info,
+      fmt::format("event=job_ended job={} state={} age_ms={}", log_value(id.value),
+                  name_of(state_of(j)), (wall_ - j.accepted.accepted_at).count()));
+}
+
+void job_owner::on_task_done(job& j, task_index index, time_point now) {
+  auto& task = j.tasks[index];
+  if (task.phase == task_phase::done) return;
+  const auto ref = j.ref_of(index);
+  task.phase = task_phase::done;
+  task.life = {};
+  task.checkpoint.clear();
+  --j.open_in_step(ref.occurrence, ref.step);
+  mark_changed(j);
+  const bool all_done = std::all_of(j.open_tasks.begin(), j.open_tasks.end(),
+                                    [](std::uint32_t open) { return open == 0; });
+  if (all_done) return finish(j, job_outcome::completed, now);
+  refresh_waiting(j);
+}
+
+void job_owner::on_task_failed(job& j, task_index index, const std::string& checkpoint,
+                               time_point now) {
+  auto& task = j.tasks[index];
+  ++task.failures;
+  const auto ref = j.ref_of(index);
+  if (!j.step_of(ref).long_running && task.failures >= j.accepted.max_attempts) {
+    task.phase = task_phase::failed;
+    log(severity::info, fmt::format("event=attempts_used_up job={} task={}.{}.{} failures={}",
+                                    log_value(j.accepted.id.value), ref.occurrence, ref.step,
+                                    ref.index, task.failures));
+    return finish(j, job_outcome::failed, now);
+  }
+  requeue(j, index, checkpoint);
+}
+
+void job_owner::requeue(job& j, task_index index, const std::string& checkpoint) {
+  auto& task = j.tasks[index];
+  task.phase = task_phase::waiting;
+  task.life = {};
+  if (!checkpoint.empty()) task.checkpoint = checkpoint;
+  mark_changed(j);
+  refresh_waiting(j);
+}
+
+void job_owner::drop_expired() {
+  std::vector<job_id> expired;
+  for (const auto& [id, j] : table_) {
+    if (j.ended() && j.ended_at + options_.keep_ended < wall_) expired.push_back(id);
+  }
+  for (const auto& id : expired) {
+    for (auto& record : removal_records(id)) removals_.push_back(std::move(record));
+    dirty_.erase(id);
+    table_.forget(id);
+  }
+}
+
+// --- Placing ---
+
+std::int64_t job_owner::serving_demand() const {
+  std::int64_t sum = 0;
+  for (const auto& [worker, link] : links_) sum += link.serving_millicores;
+  for (const auto& [id, place] : places_) {
+    const auto* j = table_.find(id);
+    if (j == nullptr || ends_by_itself(j->accepted.spec)) continue;
+    for (task_index i = 0; i < j->tasks.size(); ++i) {
+      if (j->tasks[i].phase != task_phase::waiting) continue;
+      const auto& step = j->step_of(j->ref_of(i));
+      if (step.serves()) sum += step.demand.millicores;
+    }
+  }
+  return sum;
+}
+
+void job_owner::place(time_point now, wall_time wall) {
+  wall_ = wall;
+  if (waiting_.empty()) return;
+  reserve_for_serving(links_, serving_demand(), now);
+  std::size_t unplaced = 0;
+  // Placing changes `waiting_`.
+  const std::vector<queue_place> order{waiting_.begin(), waiting_.end()};
+  for (const auto& place : order) {
+    auto* j = table_.find(std::get<job_id>(place));
+    if (j == nullptr || j->ended()) continue;
+    if (!place_job(*j, now) && ++unplaced >= most_unplaced_jobs) break;
+    refresh_waiting(*j);
+  }
+}
+
+// Returns whether all waiting tasks got a worker, or no task could get one on any worker: such a job
+// does not count as waiting for room.
+bool job_owner::place_job(job& j, time_point now) {
+  bool placed_all = true;
+  const auto& spec = j.accepted.spec;
+  for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+    if (!occurrence_due(j, occurrence)) break;
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+      if (j.open_in_step(occurrence, step) == 0 || !j.step_ready(occurrence, step)) continue;
+      const bool placed = spec.steps[step].gang ? place_gang(j, occurrence, step, now)
+                                                : place_step(j, occurrence, step, now);
+      placed_all = placed_all && placed;
+    }
+  }
+  return placed_all;
+}
+
+placement_request job_owner::request_for(const job& j, std::uint32_t occurrence,
+                                         std::uint32_t step) const {
+  const auto& spec = j.accepted.spec.steps[step];
+  placement_request request{.step = &spec, .service = j.accepted.service};
+  if (spec.max_per_worker == 0 && !spec.tightly_coupled) return request;
+  const auto first = j.index_of({.occurrence = occurrence, .step = step});
+  for (auto i = first; i < first + spec.count; ++i) {
+    const auto& task = j.tasks[i];
+    if (task.phase != task_phase::assigned) continue;
+    ++request.siblings[task.life.worker];
+    const auto link = links_.find(task.life.worker);
+    if (spec.tightly_coupled && link != links_.end() && link->second.listing) {
+      request.preferred_rack = link->second.listing->rack();
+    }
+  }
+  return request;
+}
+
+bool job_owner::place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
+  const auto first = j.index_of({.occurrence = occurrence, .step = step});
+  const auto last = first + j.accepted.spec.steps[step].count;
+  auto request = request_for(j, occurrence, step);
+  for (auto i = first; i < last; ++i) {
+    if (j.tasks[i].phase != task_phase::waiting) continue;
+    auto* link = choose_worker(request, links_, now);
+    if (link == nullptr) return !could_ever_run(request, links_);
+    assign(j, i, *link, j.tasks[i].run + 1, now);
+    ++request.siblings[link->life.worker];
+    if (request.step->tightly_coupled) request.preferred_rack = link->listing->rack();
+  }
+  return true;
+}
+
+// Places all tasks of a step or none. Runs of one gang share their number.
+bool job_owner::place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
+  const auto first = j.index_of({.occurrence = occurrence, .step = step});
+  const auto last = first + j.accepted.spec.steps[step].count;
+  run_number run = 0;
+  for (auto i = first; i < last; ++i) {
+    if (j.tasks[i].phase != task_phase::waiting) return true;  // the former runs still end
+    run = std::max(run, j.tasks[i].run + 1);
+  }
+  auto request = request_for(j, occurrence, step);
+  std::vector<std::pair<worker_link*, task_index>> chosen;
+  for (auto i = first; i < last; ++i) {
+    auto* link = choose_worker(request, links_, now);
+    if (link == nullptr) break;
+    assign(j, i, *link, run, now);
+    chosen.emplace_back(link, i);
+    ++request.siblings[link->life.worker];
+    if (request.step->tightly_coupled) request.preferred_rack = link->listing->rack();
+  }
+  if (chosen.size() == last - first) return true;
+  // Nothing of it is recorded yet, so that the assignments can be undone.
+  for (const auto& [link, index] : chosen) {
+    link->remove({.job = j.accepted.id, .index = index});
+    std::erase(next_.starts, std::pair{link->life.worker, task_key{j.accepted.id, index}});
+    j.tasks[index].phase = task_phase::waiting;
+    j.tasks[index].life = {};
+  }
+  return !could_ever_run(request, links_);
+}
+
+void job_owner::assign(job& j, task_index index, worker_link& link, run_number run,
+                       time_point now) {
+  auto& task = j.tasks[index];
+  const auto& step = j.step_of(j.ref_of(index));
+  task.phase = task_phase::assigned;
+  task.run = run;
+  task.life = link.life;
+  j.started = true;
+  const task_key key{.job = j.accepted.id, .index = index};
+  link.add(key, {.run = run,
+                 .progressed_at = now,
+                 .checkpoint = task.checkpoint,
+                 .demand = {.millicores = step.fill ? 0 : step.demand.millicores,
+                            .memory_mb = step.demand.memory_mb,
+                            .accelerators = step.demand.accelerators},
+                 .fill_millicores = step.fill ? step.demand.millicores : 0,
+                 .serves = step.serves()});
+  next_.starts.emplace_back(link.life.worker, key);
+  mark_changed(j);
+}
+
+// --- Journal ---
+
+std::vector<keyed_record> job_owner::take_batch() {
+  std::vector<keyed_record> records;
+  records.reserve(dirty_.size() + removals_.size());
+  for (const auto& id : dirty_) {
+    if (const auto* j = table_.find(id)) records.push_back(progress_record(*j));
+  }
+  std::move(removals_.begin(), removals_.end(), std::back_inserter(records));
+  removals_.clear();
+  dirty_.clear();
+  in_flight_ = std::exchange(next_, {});
+  return records;
+}
+
+void job_owner::on_batch_recorded(time_point now) {
+  const auto effects = std::exchange(in_flight_, {});
+  for (const auto& [worker, key] : effects.starts) {
+    const auto link = links_.find(worker);
+    if (link == links_.end()) continue;
+    const auto run = link->second.runs.find(key);
+    if (run == link->second.runs.end() || run->second.phase != start_phase::recording) continue;
+    run->second.phase = start_phase::to_send;
+    send_due_orders(link->second, now);
+  }
+  for (const auto& [worker, number] : effects.ends) {
+    const auto link = links_.find(worker);
+    if (link == links_.end()) continue;
+    link->second.recorded_end = std::max(link->second.recorded_end, number);
+    link->second.next_look = now;
+    send_due_orders(link->second, now);
+  }
+}
+
+job_state job_owner::visible_state(const job& j) const {
+  const auto& id = j.accepted.id;
+  const bool recorded = !next_.jobs.contains(id) && !in_flight_.jobs.contains(id);
+  if (j.ended() && !recorded && !j.cancel_requested) return job_state::running;
+  return state_of(j);
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/job_owner.h
@@ -0,0 +1,184 @@
+// The owner of the fleet's jobs: places tasks on workers, keeps their leases, takes note of ends and
+// decides when a job has ended. A pure state machine: it returns orders and journal records, and
+// sends nothing itself.
+//
+// Each start is in the journal before its order is sent, so that a successor knows where a task may
+// run. An end is in the journal before the worker is told to forget it, and before a job is shown
+// as ended.
+//
+//   job_owner owner{{}, fence, table, now};
+//   owner.on_listing(listing, now);
+//   owner.tick(now, wall);
+//   if (owner.has_batch()) append(owner.take_batch());
+//   for (auto& order : owner.take_orders()) send(order);
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "coltsfoot/jobs/job_record.h"
+#include "coltsfoot/jobs/job_table.h"
+#include "coltsfoot/jobs/placement.h"
+#include "coltsfoot/jobs/worker_calls.h"
+#include "coltsfoot/jobs/worker_link.h"
+#include "coltsfoot/transport/transport_error.h"
+
+namespace coltsfoot::jobs {
+
+struct job_owner_options {
+  // Long enough to outlast the takeover by another node, short enough that the work of a worker
+  // that was cut off goes on soon.
+  duration lease{5'000};
+  duration look_wait{800};         // how long a worker may hold back its answer
+  duration look_timeout{1'500};    // `look_wait` included
+  duration order_timeout{400};     // of starts and stops
+  duration order_retry{150};       // between two tries of an order
+  duration look_retry{200};        // after a look that failed
+  duration unrecorded_look{400};   // between looks while ends wait for the journal
+  duration stop_settle{400};       // from a stop's answer until a look must show the end
+  duration stall_limit{2'500};     // a run without any progress is started elsewhere
+  duration avoid_after_failures{2'000};
+  std::uint32_t most_failures_in_a_row = 3;
+  duration keep_ended{125'000};    // how long an ended job can be asked for
+  duration drain_patience{1'200};  // runs that should end by then stay on a worker that drains
+};
+
+struct job_owner_stats {
+  std::uint64_t starts = 0;
+  std::uint64_t ends_done = 0;
+  std::uint64_t ends_failed = 0;
+  std::uint64_t ends_other = 0;
+  std::uint64_t runs_lost = 0;   // given up without an end
+  std::uint64_t rejected = 0;    // starts that a worker rejected
+  std::uint64_t unanswered = 0;  // orders without an answer
+  std::uint64_t completed = 0;
+  std::uint64_t failed = 0;
+};
+
+class job_owner {
+ public:
+  job_owner(job_owner_options options, std::uint64_t fence, job_table& table, time_point now,
+            wall_time wall, log_sink log);
+
+  // --- What happens in the fleet ---
+  void on_listing(const worker_listing& listing, time_point now);
+  void on_unlisted(const worker_id& worker);
+  // The listed workers as a whole; others are not listed any more.
+  void on_listings(const std::vector<worker_listing>& listings, time_point now);
+  void on_accepted(const job_id& id);
+  void on_cancelled(const job_id& id, time_point now);
+
+  // --- Answers to orders ---
+  void on_start_answer(const worker_life& life, const run_ref& run, const order_answer& answer,
+                       time_point now);
+  void on_stop_answer(const worker_life& life, const run_ref& run, const order_answer& answer,
+                      time_point now);
+  // `sent_at`: when the look was sent.
+  void on_look_answer(const worker_life& life, const look_answer& answer, time_point sent_at,
+                      time_point now);
+
+  // Does what is due: leases, looks, tries of orders.
+  void tick(time_point now, wall_time wall);
+  // Places waiting tasks. Call it when the next batch can be appended.
+  void place(time_point now, wall_time wall);
+
+  // --- Journal ---
+  bool has_batch() const { return !dirty_.empty() || !removals_.empty() || !next_.empty(); }
+  std::vector<keyed_record> take_batch();
+  void on_batch_recorded(time_point now);
+
+  std::vector<worker_order> take_orders() { return std::exchange(orders_, {}); }
+
+  // Whether a worker has seen a higher fence: another node owns the jobs.
+  bool fenced() const { return fenced_; }
+
+  // What callers may be shown. An end that is not recorded yet is not shown.
+  job_state visible_state(const job& j) const;
+
+  const job_owner_stats& stats() const { return stats_; }
+  const worker_links& links() const { return links_; }
+  std::size_t waiting_jobs() const { return waiting_.size(); }
+
+ private:
+  // Order in which waiting jobs get room: priority, then the time by which the job should end.
+  using queue_place = std::tuple<std::int32_t, wall_time, job_id>;
+
+  // What may be done once the batch that it belongs to is recorded.
+  struct recorded_effects {
+    std::vector<std::pair<worker_id, task_key>> starts;
+    std::map<worker_id, std::uint64_t> ends;
+    std::set<job_id> jobs;
+    bool empty() const { return starts.empty() && ends.empty() && jobs.empty(); }
+  };
+
+  // Jobs.
+  void adopt(time_point now);
+  void mark_changed(const job& j);
+  void refresh_waiting(const job& j);
+  bool has_waiting_task(const job& j) const;
+  wall_time due_time(const job& j) const;
+  void finish(job& j, job_outcome outcome, time_point now);
+  void on_task_done(job& j, task_index index, time_point now);
+  void on_task_failed(job& j, task_index index, const std::string& checkpoint, time_point now);
+  void requeue(job& j, task_index index, const std::string& checkpoint);
+  void stop_runs_of(const job_id& id, time_point now);
+  void settle_cancelled(job& j, time_point now);
+  void drop_expired();
+
+  // Placing.
+  bool place_job(job& j, time_point now);
+  bool place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
+  bool place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
+  void assign(job& j, task_index index, worker_link& link, run_number run, time_point now);
+  placement_request request_for(const job& j, std::uint32_t occurrence, std::uint32_t step) const;
+  bool occurrence_due(const job& j, std::uint32_t occurrence) const;
+  std::int64_t serving_demand() const;
+
+  // Workers.
+  worker_link* link_of(const worker_life& life);
+  placed_run* run_of(worker_link& link, const run_ref& run, task_key& key);
+  void end_life(worker_link& link, std::string_view reason, time_point now);
+  void begin_life(worker_link& link, std::uint64_t incarnation, time_point now);
+  void end_run(worker_link& link, const task_key& key);
+  void lose_run(worker_link& link, const task_key& key, std::string_view reason);
+  void on_ended(worker_link& link, const ended_row& row, time_point now);
+  void on_running(worker_link& link, const running_row& row, time_point now);
+  void settle_missing(worker_link& link, const std::set<run_ref>& listed, time_point sent_at,
+                      time_point now);
+  void stop_run(worker_link& link, const task_key& key, time_point now);
+  void drain_runs(worker_link& link, time_point now);
+  void send_due_orders(worker_link& link, time_point now);
+  void send_start(worker_link& link, const task_key& key, placed_run& run, time_point now);
+  void send_stop(worker_link& link, const run_ref& run);
+  void send_look(worker_link& link, time_point now);
+  void note_contact(worker_link& link, const std::optional<worker_clock>& clock, time_point now);
+  void note_worker_failure(worker_link& link, time_point now);
+
+  void log(severity level, const std::string& text) const;
+
+  job_owner_options options_;
+  std::uint64_t fence_;
+  job_table& table_;
+  log_sink log_;
+  wall_time wall_;  // of the last tick
+  time_point inherited_until_;
+  worker_links links_;
+  std::map<job_id, queue_place> places_;
+  std::set<queue_place> waiting_;
+  std::set<job_id> cancelling_;  // cancelled jobs with runs that have not ended
+  std::set<job_id> scheduled_;   // jobs with occurrences that are not due yet
+
+  std::set<job_id> dirty_;  // progress to be recorded
+  std::vector<keyed_record> removals_;
+  recorded_effects next_;      // of the batch that will be taken next
+  recorded_effects in_flight_;  // of the batch that is being appended
+  std::vector<worker_order> orders_;
+  bool fenced_ = false;
+  job_owner_stats stats_;
+};
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -0,0 +1,504 @@
+// The part of the owner that deals with workers: leases, looks, orders and ends.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "coltsfoot/base/log_text.h"
+#include "coltsfoot/jobs/job_owner.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+// Times an order may go unanswered before the run is given up and stopped.
+constexpr duration patience_with_start{1'200};
+
+std::string run_text(const run_ref& run) {
+  return fmt::format("job={} task={}.{}.{} run={}", log_value(run.task.job.value),
+                     run.task.occurrence, run.task.step, run.task.index, run.run);
+}
+
+}  // namespace
+
+// --- Registry ---
+
+void job_owner::on_listing(const worker_listing& listing, time_point now) {
+  auto [at, fresh] = links_.try_emplace(listing.id, listing.id, listing.incarnation, now);
+  auto& link = at->second;
+  if (fresh) {
+    // Another owner may have granted a lease here without having recorded a run.
+    link.lease = lease_clock{inherited_until_};
+    log(severity::info, fmt::format("event=worker_listed worker={} incarnation={} address={}",
+                                    log_value(listing.id.value), listing.incarnation,
+                                    log_value(listing.address)));
+  }
+  if (listing.incarnation < link.life.incarnation) return;  // an entry of a former life
+  if (listing.incarnation > link.life.incarnation) {
+    end_life(link, "listed_with_later_life", now);
+    begin_life(link, listing.incarnation, now);
+  }
+  const bool was_draining = link.listing && link.listing->draining;
+  link.listing = listing;
+  link.listed = true;
+  if (listing.draining && !was_draining) {
+    log(severity::info,
+        fmt::format("event=worker_drains worker={}", log_value(listing.id.value)));
+    drain_runs(link, now);
+  }
+  send_due_orders(link, now);
+}
+
+void job_owner::on_unlisted(const worker_id& worker) {
+  const auto found = links_.find(worker);
+  if (found == links_.end() || !found->second.listed) return;
+  auto& link = found->second;
+  log(severity::info, fmt::format("event=worker_unlisted worker={} runs={} draining={}",
+                                  log_value(worker.value), link.runs.size(),
+                                  link.listing->draining));
+  // It is still looked at: an entry can be missing for a while although the worker lives.
+  link.listed = false;
+}
+
+void job_owner::on_listings(const std::vector<worker_listing>& listings, time_point now) {
+  std::set<worker_id> listed;
+  for (const auto& listing : listings) {
+    listed.insert(listing.id);
+    on_listing(listing, now);
+  }
+  std::vector<worker_id> gone;
+  for (const auto& [id, link] : links_) {
+    if (link.listed && !listed.contains(id)) gone.push_back(id);
+  }
+  for (const auto& id : gone) on_unlisted(id);
+}
+
+// Moves what would not end before the worker leaves.
+void job_owner::drain_runs(worker_link& link, time_point now) {
+  std::vector<task_key> moving;
+  for (const auto& [key, run] : link.runs) {
+    const auto* j = table_.find(key.job);
+    if (j == nullptr || j->ended()) continue;
+    const auto& step = j->step_of(j->ref_of(key.index));
+    const auto left = step.estimate * (100 - std::min<std::uint32_t>(run.percent, 100)) / 100;
+    if (step.long_running || left > options_.drain_patience) moving.push_back(key);
+  }
+  for (const auto& key : moving) stop_run(link, key, now);
+}
+
+// --- Runs ---
+
+worker_link* job_owner::link_of(const worker_life& life) {
+  const auto found = links_.find(life.worker);
+  if (found == links_.end() || found->second.life != life) return nullptr;
+  return &found->second;
+}
+
+placed_run* job_owner::run_of(worker_link& link, const run_ref& run, task_key& key) {
+  const auto* j = table_.find(run.task.job);
+  if (j == nullptr || !j->contains(run.task)) return nullptr;
+  key = {.job = run.task.job, .index = j->index_of(run.task)};
+  const auto found = link.runs.find(key);
+  if (found == link.runs.end() || found->second.run != run.run) return nullptr;
+  return &found->second;
+}
+
+// All that ran in this life of the worker is gone.
+void job_owner::end_life(worker_link& link, std::string_view reason, time_point now) {
+  std::vector<task_key> keys;
+  for (const auto& [key, run] : link.runs) keys.push_back(key);
+  log(severity::info, fmt::format("event=worker_life_ended worker={} incarnation={} reason={} runs={}",
+                                  log_value(link.life.worker.value), link.life.incarnation, reason,
+                                  keys.size()));
+  for (const auto& key : keys) lose_run(link, key, reason);
+  link.seen_end = 0;
+  link.recorded_end = 0;
+  link.next_look = now;
+}
+
+void job_owner::begin_life(worker_link& link, std::uint64_t incarnation, time_point now) {
+  link.life.incarnation = incarnation;
+  link.lease = lease_clock{now};
+  link.looking = false;
+  link.last_contact.reset();
+  link.failed_looks = 0;
+  link.failures_in_a_row = 0;
+}
+
+// Removes a run and settles what waits for its end.
+void job_owner::end_run(worker_link& link, const task_key& key) {
+  link.remove(key);
+}
+
+// The run is over without an end that counts. The task waits for another start.
+void job_owner::lose_run(worker_link& link, const task_key& key, std::string_view reason) {
+  const auto found = link.runs.find(key);
+  if (found == link.runs.end()) return;
+  const auto checkpoint = found->second.checkpoint;
+  const auto run = found->second.run;
+  end_run(link, key);
+  ++stats_.runs_lost;
+  auto* j = table_.find(key.job);
+  if (j == nullptr || j->ended()) return;
+  log(severity::info,
+      fmt::format("event=run_over {} worker={} reason={}",
+                  run_text({.task = j->ref_of(key.index), .run = run}),
+                  log_value(link.life.worker.value), reason));
+  requeue(*j, key.index, checkpoint);
+}
+
+void job_owner::stop_run(worker_link& link, const task_key& key, time_point now) {
+  const auto found = link.runs.find(key);
+  if (found == link.runs.end()) return;
+  auto& run = found->second;
+  if (run.phase == start_phase::recording || run.phase == start_phase::to_send) {
+    lose_run(link, key, "not_sent");
+    return;
+  }
+  if (run.stop_wanted) return;
+  run.stop_wanted = true;
+  run.next_try = now;
+  send_due_orders(link, now);
+}
+
+void job_owner::note_worker_failure(worker_link& link, time_point now) {
+  if (++link.failures_in_a_row < options_.most_failures_in_a_row) return;
+  const auto doublings = std::min(link.failures_in_a_row - options_.most_failures_in_a_row, 3U);
+  link.avoid_until = now + options_.avoid_after_failures * (1U << doublings);
+  log(severity::warning, fmt::format("event=worker_avoided worker={} failures_in_a_row={}",
+                                     log_value(link.life.worker.value), link.failures_in_a_row));
+}
+
+// --- Orders ---
+
+void job_owner::send_start(worker_link& link, const task_key& key, placed_run& run,
+                           time_point now) {
+  const auto* j = table_.find(key.job);
+  if (j == nullptr) return;
+  const auto lease_end = link.lease.extend(now, options_.lease);
+  if (!lease_end) return;
+  run.phase = start_phase::sent;
+  run.next_try = now + options_.order_timeout + options_.order_retry;
+  ++stats_.starts;
+  orders_.push_back({.life = link.life,
+                     .address = link.listing->address,
+                     .order = start_order{.run = {.task = j->ref_of(key.index), .run = run.run},
+                                          .payload = j->accepted.spec.payload,
+                                          .lease_end = *lease_end,
+                                          .checkpoint = j->tasks[key.index].checkpoint},
+                     .timeout = options_.order_timeout});
+}
+
+void job_owner::send_stop(worker_link& link, const run_ref& run) {
+  orders_.push_back({.life = link.life,
+                     .address = link.listing->address,
+                     .order = stop_order{.run = run},
+                     .timeout = options_.order_timeout});
+}
+
+void job_owner::send_look(worker_link& link, time_point now) {
+  link.looking = true;
+  const bool settled = link.recorded_end == link.seen_end;
+  const bool patient = settled && link.failed_looks == 0 && link.last_contact.has_value();
+  orders_.push_back({.life = link.life,
+                     .address = link.listing->address,
+                     .order = look_order{.forget_up_to = link.recorded_end,
+                                         .lease_end = link.lease.extend(now, options_.lease),
+                                         .wait = patient ? options_.look_wait : duration{0}},
+                     .timeout = patient ? options_.look_timeout : options_.order_timeout});
+}
+
+void job_owner::send_due_orders(worker_link& link, time_point now) {
+  if (!link.listing || fenced_) return;
+  if (!link.looking && now >= link.next_look) send_look(link, now);
+  for (auto& [key, run] : link.runs) {
+    const auto* j = table_.find(key.job);
+    if (run.stop_wanted) {
+      if (run.stop_sent || run.stop_answered || now < run.next_try) continue;
+      run.stop_sent = true;
+      run.next_try = now + options_.order_timeout + options_.order_retry;
+      // The job's steps are known as long as the job is, also after its end.
+      if (j != nullptr) send_stop(link, {.task = j->ref_of(key.index), .run = run.run});
+      continue;
+    }
+    if (j == nullptr || j->ended()) continue;
+    const bool due = run.phase == start_phase::to_send ||
+                     (run.phase == start_phase::sent && now >= run.next_try);
+    if (due) send_start(link, key, run, now);
+  }
+}
+
+void job_owner::note_contact(worker_link& link, const std::optional<worker_clock>& clock,
+                             time_point now) {
+  link.last_contact = now;
+  if (clock) link.lease.observe(*clock, now);
+}
+
+void job_owner::on_start_answer(const worker_life& life, const run_ref& ref,
+                                const order_answer& answer, time_point now) {
+  auto* link = link_of(life);
+  if (link == nullptr) return;
+  if (answer.clock) note_contact(*link, answer.clock, now);
+  task_key key;
+  auto* run = run_of(*link, ref, key);
+  if (run == nullptr || run->phase != start_phase::sent) return;
+  if (answer.verdict != order_verdict::accepted) {
+    log(severity::info, fmt::format("event=start_not_accepted {} worker={} verdict={}",
+                                    run_text(ref), log_value(life.worker.value),
+                                    name_of(answer.verdict)));
+  }
+  const auto reject = [&](std::string_view reason) {
+    ++stats_.rejected;
+    // An earlier order for the run may still be carried out: a stop rules that out.
+    if (run->doubtful) return stop_run(*link, key, now);
+    lose_run(*link, key, reason);
+  };
+  switch (answer.verdict) {
+    case order_verdict::accepted:
+      run->phase = start_phase::confirmed;
+      run->confirmed_at = now;
+      run->progressed_at = now;
+      return;
+    case order_verdict::fenced:
+      fenced_ = true;
+      return;
+    case order_verdict::lease_over:
+      run->next_try = now;  // with the clock that was just read
+      return send_due_orders(*link, now);
+    case order_verdict::obsolete:
+      // The run has been there: its end is listed, or it was stopped.
+      run->phase = start_phase::confirmed;
+      run->confirmed_at = now;
+      return;
+    case order_verdict::no_room:
+      link->avoid_until = now + options_.order_timeout;
+      return reject("no_room");
+    case order_verdict::bad_ticket:
+      return reject("bad_ticket");
+    case order_verdict::malformed:
+      return reject("malformed");
+    case order_verdict::unhealthy:
+      link->avoid_until = now + options_.avoid_after_failures;
+      return reject("unhealthy");
+    case order_verdict::other_life:
+      link->next_look = now;
+      run->next_try = now + options_.order_retry;
+      return;
+    case order_verdict::not_sent:
+      run->next_try = now + options_.order_retry;
+      return;
+    case order_verdict::unanswered:
+      ++stats_.unanswered;
+      run->doubtful = true;
+      run->next_try = now;
+      if (now - run->progressed_at > patience_with_start) return stop_run(*link, key, now);
+      return send_due_orders(*link, now);
+  }
+}
+
+void job_owner::on_stop_answer(const worker_life& life, const run_ref& ref,
+                               const order_answer& answer, time_point now) {
+  auto* link = link_of(life);
+  if (link == nullptr) return;
+  if (answer.clock) note_contact(*link, answer.clock, now);
+  if (answer.verdict == order_verdict::fenced) {
+    fenced_ = true;
+    return;
+  }
+  task_key key;
+  auto* run = run_of(*link, ref, key);
+  if (run == nullptr || !run->stop_wanted) return;
+  run->stop_sent = false;
+  if (answer.verdict == order_verdict::accepted) {
+    run->stop_answered = now;
+  } else {
+    run->next_try = now + options_.order_retry;
+  }
+}
+
+// --- Looks ---
+
+void job_owner::on_look_answer(const worker_life& life, const look_answer& answer,
+                               time_point sent_at, time_point now) {
+  auto* link = link_of(life);
+  if (link == nullptr) return;
+  link->looking = false;
+  if (answer.verdict == order_verdict::fenced) {
+    fenced_ = true;
+    return;
+  }
+  if (answer.verdict == order_verdict::other_life) {
+    end_life(*link, "answered_as_other_life", now);
+    link->next_look = now + options_.look_retry;
+    return;
+  }
+  if (answer.verdict != order_verdict::accepted) {
+    ++link->failed_looks;
+    link->next_look = now + options_.look_retry;
+    if (link->failed_looks == 2) {
+      log(severity::warning,
+          fmt::format("event=worker_lost worker={} verdict={} runs={}",
+                      log_value(life.worker.value), name_of(answer.verdict), link->runs.size()));
+    }
+    return;
+  }
+  const auto& report = answer.report;
+  if (report.incarnation != 0 && report.incarnation != link->life.incarnation) {
+    if (report.incarnation < link->life.incarnation) return;
+    end_life(*link, "reported_later_life", now);
+    begin_life(*link, report.incarnation, now);
+    if (link->listing) link->listing->incarnation = report.incarnation;
+    return;
+  }
+  if (link->failed_looks >= 2) {
+    log(severity::info, fmt::format("event=worker_regained worker={} failed_looks={}",
+                                    log_value(life.worker.value), link->failed_looks));
+  }
+  link->failed_looks = 0;
+  note_contact(*link, report.clock, now);
+  std::set<run_ref> listed;
+  for (const auto& row : report.running) {
+    listed.insert(row.run);
+    on_running(*link, row, now);
+  }
+  const auto seen_before = link->seen_end;
+  for (const auto& row : report.ended) {
+    listed.insert(row.run);
+    if (row.number > link->seen_end) on_ended(*link, row, now);
+  }
+  for (const auto& row : report.ended) link->seen_end = std::max(link->seen_end, row.number);
+  settle_missing(*link, listed, sent_at, now);
+  if (link->seen_end != seen_before) {
+    next_.ends[life.worker] = link->seen_end;
+  }
+  link->next_look =
+      link->seen_end == link->recorded_end ? now : now + options_.unrecorded_look;
+  send_due_orders(*link, now);
+}
+
+void job_owner::on_running(worker_link& link, const running_row& row, time_point now) {
+  task_key key;
+  auto* run = run_of(link, row.run, key);
+  if (run == nullptr) {
+    log(severity::info, fmt::format("event=stray_run_stopped {} worker={}", run_text(row.run),
+                                    log_value(link.life.worker.value)));
+    return send_stop(link, row.run);
+  }
+  if (run->phase == start_phase::sent) {
+    run->phase = start_phase::confirmed;
+    run->confirmed_at = now;
+  }
+  if (row.percent != run->percent || run->progressed_at == time_point{}) {
+    run->percent = row.percent;
+    run->progressed_at = now;
+  }
+  if (!row.checkpoint.empty()) run->checkpoint = row.checkpoint;
+}
+
+void job_owner::on_ended(worker_link& link, const ended_row& row, time_point now) {
+  task_key key;
+  auto* run = run_of(link, row.run, key);
+  if (run == nullptr) return;  // another run of the task counts
+  const bool wanted = run->stop_wanted;
+  end_run(link, key);
+  auto* j = table_.find(key.job);
+  if (j == nullptr || j->ended()) return;
+  log(severity::info, fmt::format("event=run_ended {} worker={} end={} number={} stop_wanted={}",
+                                  run_text(row.run), log_value(link.life.worker.value),
+                                  name_of(row.end), row.number, wanted));
+  const auto& step = j->step_of(row.run.task);
+  switch (row.end) {
+    case run_end::done:
+      ++stats_.ends_done;
+      link.failures_in_a_row = 0;
+      if (step.long_running) {
+        requeue(*j, key.index, row.checkpoint);
+      } else if (step.gang) {
+        const auto first = j->index_of({.occurrence = row.run.task.occurrence,
+                                        .step = row.run.task.step});
+        for (auto i = first; i < first + step.count && !j->ended(); ++i) on_task_done(*j, i, now);
+      } else {
+        on_task_done(*j, key.index, now);
+      }
+      break;
+    case run_end::failed:
+      ++stats_.ends_failed;
+      note_worker_failure(link, now);
+      on_task_failed(*j, key.index, row.checkpoint, now);
+      break;
+    case run_end::stopped:
+    case run_end::lapsed:
+    case run_end::partner_ended:
+    case run_end::partner_missing:
+      ++stats_.ends_other;
+      requeue(*j, key.index, row.checkpoint);
+      break;
+  }
+  if (cancelling_.contains(key.job)) settle_cancelled(*j, now);
+}
+
+// Runs that a look should have listed and did not.
+void job_owner::settle_missing(worker_link& link, const std::set<run_ref>& listed,
+                               time_point sent_at, time_point now) {
+  std::vector<task_key> lost;
+  for (auto& [key, run] : link.runs) {
+    const auto* j = table_.find(key.job);
+    if (j == nullptr) {
+      lost.push_back(key);
+      continue;
+    }
+    if (listed.contains({.task = j->ref_of(key.index), .run = run.run})) continue;
+    const bool stopped = run.stop_answered && sent_at > *run.stop_answered + options_.stop_settle;
+    const bool vanished = run.phase == start_phase::confirmed && !run.stop_wanted &&
+                          sent_at > run.confirmed_at;
+    if (stopped || vanished) lost.push_back(key);
+  }
+  for (const auto& key : lost) {
+    lose_run(link, key, "not_listed");
+    auto* j = table_.find(key.job);
+    if (j != nullptr && cancelling_.contains(key.job)) settle_cancelled(*j, now);
+  }
+}
+
+// --- Time ---
+
+void job_owner::tick(time_point now, wall_time wall) {
+  wall_ = wall;
+  std::vector<worker_id> unused;
+  for (auto& [id, link] : links_) {
+    const bool silent = link.failed_looks > 0 || !link.last_contact || !link.listing;
+    if (silent && now >= link.lease.lapses_at() && !link.runs.empty()) {
+      end_life(link, "lease_lapsed", now);
+    }
+    std::vector<task_key> stalled;
+    for (const auto& [key, run] : link.runs) {
+      const auto* j = table_.find(key.job);
+      if (j == nullptr || j->ended() || run.phase != start_phase::confirmed) continue;
+      const bool stuck = run.percent < 100 && link.failed_looks == 0 &&
+                         now - run.progressed_at > options_.stall_limit;
+      if (stuck && !j->step_of(j->ref_of(key.index)).fill) stalled.push_back(key);
+    }
+    for (const auto& key : stalled) {
+      note_worker_failure(link, now);
+      stop_run(link, key, now);
+    }
+    send_due_orders(link, now);
+    if (!link.listed && link.runs.empty()) unused.push_back(id);
+  }
+  for (const auto& id : unused) links_.erase(id);
+  for (const auto& id : std::vector<job_id>{cancelling_.begin(), cancelling_.end()}) {
+    if (auto* j = table_.find(id)) {
+      stop_runs_of(id, now);
+      settle_cancelled(*j, now);
+    }
+  }
+  for (const auto& id : std::vector<job_id>{scheduled_.begin(), scheduled_.end()}) {
+    const auto* j = table_.find(id);
+    if (j != nullptr) refresh_waiting(*j);
+    if (j == nullptr || occurrence_due(*j, j->accepted.spec.occurrences() - 1)) {
+      scheduled_.erase(id);
+    }
+  }
+  drop_expired();
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/job_record.cc
@@ -0,0 +1,211 @@
+#include "coltsfoot/jobs/job_record.h"
+
+#include <map>
+#include <optional>
+
+#include "coltsfoot/base/byte_stream.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+constexpr std::string_view acceptance_prefix = "acceptance/";
+constexpr std::string_view cancellation_prefix = "cancellation/";
+constexpr std::string_view progress_prefix = "progress/";
+constexpr std::string_view claim_key = "owner";
+
+// Version of the progress encoding.
+constexpr std::uint64_t progress_version = 1;
+
+// Numbers the worker lives that a record names, so that each is written once.
+class life_dictionary {
+ public:
+  std::size_t number_of(const worker_life& life) {
+    const auto [at, fresh] = numbers_.try_emplace(life, lives_.size());
+    if (fresh) lives_.push_back(life);
+    return at->second;
+  }
+  const std::vector<worker_life>& lives() const { return lives_; }
+
+ private:
+  std::map<worker_life, std::size_t> numbers_;
+  std::vector<worker_life> lives_;
+};
+
+bool is_untouched(const task_progress& task) {
+  return task.phase == task_phase::waiting && task.run == 0;
+}
+
+void write_tasks(byte_writer& out, const job& j) {
+  life_dictionary lives;
+  byte_writer rows;
+  std::uint64_t count = 0;
+  task_index previous = 0;
+  for (task_index i = 0; i < j.tasks.size(); ++i) {
+    const auto& task = j.tasks[i];
+    if (is_untouched(task)) continue;
+    ++count;
+    rows.number(i - previous);
+    previous = i;
+    rows.number(static_cast<std::uint64_t>(task.phase));
+    rows.number(task.run);
+    rows.number(task.failures);
+    if (task.phase == task_phase::assigned) rows.number(lives.number_of(task.life));
+    if (task.phase != task_phase::done) rows.text(task.checkpoint);
+  }
+  out.number(lives.lives().size());
+  for (const auto& life : lives.lives()) {
+    out.text(life.worker.value);
+    out.number(life.incarnation);
+  }
+  out.number(count);
+  out.text(rows.bytes());
+}
+
+bool read_task(byte_reader& rows, const std::vector<worker_life>& lives, task_progress& task) {
+  const auto phase = rows.number();
+  if (phase > static_cast<std::uint64_t>(task_phase::failed)) return false;
+  task.phase = static_cast<task_phase>(phase);
+  task.run = static_cast<run_number>(rows.number());
+  task.failures = static_cast<std::uint32_t>(rows.number());
+  if (task.phase == task_phase::assigned) {
+    const auto life = rows.number();
+    if (life >= lives.size()) return false;
+    task.life = lives[life];
+  }
+  if (task.phase != task_phase::done) task.checkpoint = rows.text();
+  return rows.ok();
+}
+
+bool read_tasks(byte_reader& in, std::vector<task_progress>& tasks) {
+  std::vector<worker_life> lives;
+  const auto life_count = in.number();
+  for (std::uint64_t i = 0; i < life_count && in.ok(); ++i) {
+    const worker_id worker{std::string{in.text()}};
+    lives.push_back({.worker = worker, .incarnation = in.number()});
+  }
+  const auto count = in.number();
+  byte_reader rows{in.text()};
+  std::uint64_t index = 0;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    index += rows.number();
+    if (!rows.ok() || index >= tasks.size()) return false;
+    if (!read_task(rows, lives, tasks[index])) return false;
+  }
+  return in.ok();
+}
+
+// What a progress record says.
+struct progress_content {
+  job_outcome outcome = job_outcome::open;
+  bool started = false;
+  wall_time ended_at{};
+  std::vector<task_progress> tasks;
+};
+
+tl::expected<progress_content, record_error> read_progress(std::string_view value,
+                                                           std::size_t task_count) {
+  byte_reader in{value};
+  if (in.number() != progress_version) return tl::unexpected(record_error{"unknown version"});
+  progress_content content;
+  const auto outcome = in.number();
+  if (outcome > static_cast<std::uint64_t>(job_outcome::cancelled)) {
+    return tl::unexpected(record_error{"unknown outcome"});
+  }
+  content.outcome = static_cast<job_outcome>(outcome);
+  content.started = in.number() != 0;
+  content.ended_at = wall_time{duration{static_cast<std::int64_t>(in.number())}};
+  if (content.outcome == job_outcome::open) {
+    content.tasks.resize(task_count);
+    if (!read_tasks(in, content.tasks)) return tl::unexpected(record_error{"malformed tasks"});
+  }
+  if (!in.ok()) return tl::unexpected(record_error{"truncated"});
+  return content;
+}
+
+tl::expected<void, record_error> apply_progress(std::string_view value, job& j) {
+  auto content = read_progress(
+      value, std::size_t{j.tasks_per_occurrence()} * j.accepted.spec.occurrences());
+  if (!content) return tl::unexpected(content.error());
+  j.outcome = content->outcome;
+  j.started = content->started;
+  j.ended_at = content->ended_at;
+  j.tasks = std::move(content->tasks);
+  if (!j.ended()) j.recount();
+  return {};
+}
+
+std::optional<job_id> job_of(std::string_view key, std::string_view prefix) {
+  if (!key.starts_with(prefix)) return std::nullopt;
+  return job_id{std::string{key.substr(prefix.size())}};
+}
+
+}  // namespace
+
+keyed_record acceptance_record(const accepted_job& accepted) {
+  return {.key = std::string{acceptance_prefix} + accepted.id.value,
+          .value = encode_msgpack(accepted)};
+}
+
+keyed_record cancellation_record(const job_id& id) {
+  return {.key = std::string{cancellation_prefix} + id.value, .value = "1"};
+}
+
+keyed_record progress_record(const job& j) {
+  byte_writer out;
+  out.number(progress_version);
+  out.number(static_cast<std::uint64_t>(j.outcome));
+  out.number(j.started ? 1 : 0);
+  out.number(static_cast<std::uint64_t>(j.ended_at.time_since_epoch().count()));
+  if (!j.ended()) write_tasks(out, j);
+  return {.key = std::string{progress_prefix} + j.accepted.id.value, .value = out.take()};
+}
+
+keyed_record claim_record(const owner_claim& claim) {
+  return {.key = std::string{claim_key}, .value = encode_msgpack(claim)};
+}
+
+std::vector<keyed_record> removal_records(const job_id& id) {
+  return {{.key = std::string{progress_prefix} + id.value},
+          {.key = std::string{cancellation_prefix} + id.value},
+          {.key = std::string{acceptance_prefix} + id.value}};
+}
+
+tl::expected<applied_record, record_error> apply_record(const keyed_record& record,
+                                                        job_table& table, owner_claim& claim,
+                                                        const apply_options& options) {
+  if (record.key == claim_key) {
+    auto decoded = decode_msgpack<owner_claim>(record.value);
+    if (!decoded) return tl::unexpected(record_error{decoded.error().message});
+    // Pages of a listing can be newer than the records that are read after them.
+    if (decoded->fence >= claim.fence) claim = std::move(*decoded);
+    return applied_record{.kind = record_kind::claim};
+  }
+  if (const auto id = job_of(record.key, acceptance_prefix)) {
+    if (record.value.empty()) {
+      table.forget(*id);
+      return applied_record{.kind = record_kind::acceptance, .job = *id};
+    }
+    auto decoded = decode_msgpack<accepted_job>(record.value);
+    if (!decoded) return tl::unexpected(record_error{decoded.error().message});
+    if (const auto fault = fault_of(decoded->spec)) return tl::unexpected(record_error{*fault});
+    if (decoded->id != *id) return tl::unexpected(record_error{"key of another job"});
+    table.accept(std::move(*decoded));
+    return applied_record{.kind = record_kind::acceptance, .job = *id};
+  }
+  if (const auto id = job_of(record.key, cancellation_prefix)) {
+    if (!record.value.empty()) table.request_cancel(*id);
+    return applied_record{.kind = record_kind::cancellation, .job = *id};
+  }
+  if (const auto id = job_of(record.key, progress_prefix)) {
+    auto* known = table.find(*id);
+    if (known != nullptr && options.take_progress && !record.value.empty()) {
+      if (const auto applied = apply_progress(record.value, *known); !applied) {
+        return tl::unexpected(applied.error());
+      }
+    }
+    return applied_record{.kind = record_kind::progress, .job = *id};
+  }
+  return tl::unexpected(record_error{"unknown key"});
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/job_record.h
@@ -0,0 +1,66 @@
+// What the journal holds of jobs: records with a key, of which the newest of each key counts.
+//
+//   acceptance/<job>    written once by the node that accepted the job
+//   cancellation/<job>  written by the node that took the cancellation
+//   progress/<job>      written by the owner only, the whole progress each time
+//   owner               the newest claim of the ownership
+//
+//   apply_record(record, table, claim);
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "coltsfoot/jobs/job_table.h"
+
+namespace coltsfoot::jobs {
+
+struct keyed_record {
+  std::string key;
+  std::string value;  // empty: the key is dropped
+};
+COLTSFOOT_CODEC(keyed_record, key, value)
+
+// Ownership of the fleet's jobs. A claim is valid until a later one is in the journal.
+struct owner_claim {
+  std::uint64_t fence = 0;  // grows with each claim; 0: nobody has claimed yet
+  std::string node;
+  std::uint64_t life = 0;    // tells the lives of a node apart
+  std::string peer_address;  // "ip:port" of the peer transport
+  bool resigned = false;     // the owner has stopped; anybody may claim at once
+  friend bool operator==(const owner_claim&, const owner_claim&) = default;
+};
+COLTSFOOT_CODEC(owner_claim, fence, node, life, peer_address, resigned)
+
+struct record_error {
+  std::string message;
+};
+
+keyed_record acceptance_record(const accepted_job& accepted);
+keyed_record cancellation_record(const job_id& id);
+keyed_record progress_record(const job& j);
+keyed_record claim_record(const owner_claim& claim);
+
+// Records that drop all that the journal holds of a job.
+std::vector<keyed_record> removal_records(const job_id& id);
+
+enum class record_kind { acceptance, cancellation, progress, claim };
+
+// What a record changed. `job` is empty for a claim.
+struct applied_record {
+  record_kind kind = record_kind::acceptance;
+  job_id job;
+};
+
+struct apply_options {
+  bool take_progress = true;  // false for the owner, whose own state is newer
+};
+
+// Applies a record to `table` or `claim`. A record that can't be read changes nothing.
+tl::expected<applied_record, record_error> apply_record(const keyed_record& record,
+                                                        job_table& table, owner_claim& claim,
+                                                        const apply_options& options);
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/topic_follower.cc
@@ -0,0 +1,73 @@
+#include "coltsfoot/jobs/topic_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfoot::jobs {
+
+std::optional<follow_request> topic_follower::next_request(time_point now) {
+  if (reading_ || now < due_) return std::nullopt;
+  reading_ = true;
+  due_ = now + options_.poll_interval;
+  if (!listed_) return list_request{.after = list_after_};
+  const auto wait = caught_up_ ? options_.poll_wait : duration{0};
+  return tail_request{.from = position_, .wait = wait};
+}
+
+std::optional<topic_change> topic_follower::on_page(list_page page, time_point now) {
+  succeeded(now);
+  due_ = now;
+  if (!listing_started_) {
+    // Later pages may hold newer records; reading the tail from here applies them once more.
+    position_ = page.end;
+    listing_started_ = true;
+  }
+  if (!page.records.empty()) list_after_ = page.records.back().key;
+  std::move(page.records.begin(), page.records.end(), std::back_inserter(listing_));
+  if (page.more) return std::nullopt;
+  listed_ = true;
+  std::sort(listing_.begin(), listing_.end(),
+            [](const auto& a, const auto& b) { return a.key < b.key; });
+  return topic_change{.is_listing = true, .records = std::exchange(listing_, {})};
+}
+
+std::optional<topic_change> topic_follower::on_page(tail_page page, time_point now) {
+  succeeded(now);
+  position_ = page.next;
+  caught_up_ = page.next >= page.end;
+  if (!caught_up_) due_ = now;
+  if (page.records.empty()) return std::nullopt;
+  return topic_change{.records = std::move(page.records)};
+}
+
+void topic_follower::on_history_gone(time_point now) {
+  succeeded(now);
+  restart();
+  reading_ = false;
+  due_ = now;
+}
+
+void topic_follower::on_failure(time_point now) {
+  reading_ = false;
+  healthy_since_.reset();
+  backoff_ = std::clamp(backoff_ * 2, options_.first_backoff, options_.longest_backoff);
+  due_ = now + backoff_;
+}
+
+void topic_follower::restart() {
+  listed_ = false;
+  caught_up_ = false;
+  listing_started_ = false;
+  list_after_.clear();
+  listing_.clear();
+  due_ = {};
+}
+
+void topic_follower::succeeded(time_point now) {
+  reading_ = false;
+  backoff_ = duration{0};
+  last_success_ = now;
+  if (!healthy_since_) healthy_since_ = now;
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/topic_follower.h
@@ -0,0 +1,100 @@
+// Follows one topic of keyed records: first a listing of the newest record of each key, then the
+// records that come after it. Starts over with a listing when the topic's history is gone.
+//
+//   topic_follower follower{{.poll_interval = duration{250}}};
+//   if (const auto request = follower.next_request(now)) read(*request);
+//   for (auto& change : follower.on_page(page, now)) apply(change);
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coltsfoot/base/ids.h"
+#include "coltsfoot/base/time.h"
+#include "coltsfoot/jobs/job_record.h"
+
+namespace coltsfoot::jobs {
+
+struct topic_follower_options {
+  duration poll_interval{250};  // least time between the starts of two reads of the tail
+  duration poll_wait{500};      // how long the store may hold back an empty answer
+  duration first_backoff{50};   // after a failed read; doubles with each further one
+  duration longest_backoff{400};
+};
+
+// Reads the newest records of all keys above `after`.
+struct list_request {
+  std::string after;
+};
+// Reads records from an offset on.
+struct tail_request {
+  log_offset from = 0;
+  duration wait{0};
+};
+using follow_request = std::variant<list_request, tail_request>;
+
+struct list_page {
+  std::vector<keyed_record> records;
+  bool more = false;
+  log_offset end = 0;  // of the topic when the page was made
+};
+struct tail_page {
+  std::vector<keyed_record> records;
+  log_offset next = 0;  // offset after the last record of the page
+  log_offset end = 0;   // of the topic
+};
+
+// Records to apply. A listing is passed on whole, sorted by key.
+struct topic_change {
+  bool is_listing = false;  // keys that are not in `records` do not exist
+  std::vector<keyed_record> records;
+};
+
+class topic_follower {
+ public:
+  explicit topic_follower(topic_follower_options options) : options_(options) {}
+
+  // Returns the next read to send, or nothing if one is under way or none is due.
+  std::optional<follow_request> next_request(time_point now);
+
+  std::optional<topic_change> on_page(list_page page, time_point now);
+  std::optional<topic_change> on_page(tail_page page, time_point now);
+  // The records from the requested offset on are gone.
+  void on_history_gone(time_point now);
+  void on_failure(time_point now);
+
+  // Makes the next read due at once.
+  void hurry() { due_ = {}; }
+  // Begins with a listing again, for instance after a time without reading.
+  void restart();
+
+  // Whether a read has reached the end of the topic since the start or the last listing.
+  bool caught_up() const { return caught_up_; }
+  // Offset that the next read starts from; only meaningful after a listing.
+  log_offset position() const { return position_; }
+  // Time of the last read that succeeded, and of the first of the unbroken series it belongs to.
+  std::optional<time_point> last_success() const { return last_success_; }
+  std::optional<time_point> healthy_since() const { return healthy_since_; }
+  bool reading() const { return reading_; }
+
+ private:
+  void succeeded(time_point now);
+
+  topic_follower_options options_;
+  bool reading_ = false;
+  bool listed_ = false;
+  bool caught_up_ = false;
+  bool listing_started_ = false;
+  std::string list_after_;
+  std::vector<keyed_record> listing_;
+  log_offset position_ = 0;
+  time_point due_{};
+  duration backoff_{0};
+  std::optional<time_point> last_success_;
+  std::optional<time_point> healthy_since_;
+};
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/worker_link.cc
@@ -0,0 +1,45 @@
+#include "coltsfoot/jobs/worker_link.h"
+
+#include <utility>
+
+namespace coltsfoot::jobs {
+namespace {
+
+// Without an answer for this long, a worker gets no new work.
+constexpr duration contact_limit{2'500};
+
+}  // namespace
+
+void worker_link::add(const task_key& key, placed_run run) {
+  used += run.demand;
+  fill_millicores += run.fill_millicores;
+  if (run.serves) {
+    ++serving;
+    serving_millicores += run.demand.millicores;
+  }
+  runs.emplace(key, std::move(run));
+}
+
+void worker_link::remove(const task_key& key) {
+  const auto found = runs.find(key);
+  if (found == runs.end()) return;
+  const auto& run = found->second;
+  used -= run.demand;
+  fill_millicores -= run.fill_millicores;
+  if (run.serves) {
+    --serving;
+    serving_millicores -= run.demand.millicores;
+  }
+  runs.erase(found);
+}
+
+resources worker_link::free() const {
+  return listing ? listing->capacity - used : resources{};
+}
+
+bool worker_link::usable(time_point now) const {
+  if (!listed || listing->draining || now < avoid_until) return false;
+  return failed_looks == 0 && last_contact && now - *last_contact < contact_limit;
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/worker_link.h
@@ -0,0 +1,83 @@
+// What the owner knows of one worker: its listing, its lease, the runs on it and the room left.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "coltsfoot/jobs/lease_clock.h"
+#include "coltsfoot/jobs/worker_calls.h"
+
+namespace coltsfoot::jobs {
+
+// Names a task by the position in its job.
+struct task_key {
+  job_id job;
+  task_index index = 0;
+  friend auto operator<=>(const task_key&, const task_key&) = default;
+};
+
+enum class start_phase {
+  recording,  // the start is not in the journal yet
+  to_send,    // the order may be sent
+  sent,       // the order is under way
+  confirmed   // the worker said that it runs, or listed it
+};
+
+// A run that holds room on a worker.
+struct placed_run {
+  run_number run = 0;
+  start_phase phase = start_phase::recording;
+  bool doubtful = false;  // an order got no answer: it may still be carried out
+  time_point next_try{};
+  time_point confirmed_at{};
+  bool stop_wanted = false;
+  bool stop_sent = false;
+  std::optional<time_point> stop_answered;
+  std::uint32_t percent = 0;
+  time_point progressed_at{};  // when `percent` changed
+  std::string checkpoint;      // newest one reported
+  resources demand;            // held room; a filling task holds no processors
+  std::int64_t fill_millicores = 0;
+  bool serves = false;
+};
+
+struct worker_link {
+  worker_link(worker_id worker, std::uint64_t incarnation, time_point inherited_until)
+      : life{.worker = std::move(worker), .incarnation = incarnation}, lease(inherited_until) {}
+
+  worker_life life;
+  std::optional<worker_listing> listing;  // the newest one
+  bool listed = false;                    // the registry lists it now
+  lease_clock lease;
+  std::map<task_key, placed_run> runs;
+
+  // Room, kept along with `runs`.
+  resources used;
+  std::int64_t fill_millicores = 0;
+  std::int32_t serving = 0;
+  std::int64_t serving_millicores = 0;
+  bool reserved_for_serving = false;  // filling tasks go elsewhere
+
+  // Looks.
+  bool looking = false;
+  time_point next_look{};
+  std::optional<time_point> last_contact;
+  std::uint64_t seen_end = 0;      // ends up to this number are handled
+  std::uint64_t recorded_end = 0;  // ends up to this number are in the journal
+  std::uint32_t failed_looks = 0;  // in a row
+
+  // Trouble.
+  std::uint32_t failures_in_a_row = 0;
+  time_point avoid_until{};
+
+  void add(const task_key& key, placed_run run);
+  void remove(const task_key& key);
+  resources free() const;
+
+  // Whether new work may be placed here.
+  bool usable(time_point now) const;
+};
+
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/model/peer_messages.h
+++ b/coltsfoot/model/peer_messages.h
@@ -285,9 +285,39 @@
 };
 COLTSFOOT_CODEC(forward_request, rack, request)
 
-using peer_request =
-    std::variant<gossip, fetch_config, submit_tasks, query_status, cancel_tasks, run_request_once,
-                 place_task, query_tasks, stop_task, task_updates, forward_request>;
+// --- Any node to the owner of the fleet's jobs ---
+
+// A record that the sender has appended to the journal of jobs.
+struct job_notice {
+  static constexpr std::string_view message_name = "job_notice";
+  std::string key;
+  std::string value;
+};
+COLTSFOOT_CODEC(job_notice, key, value)
+
+struct job_notice_reply {
+  static constexpr std::string_view message_name = "job_notice_reply";
+  bool taken = false;  // false: the receiver is not the owner
+};
+COLTSFOOT_CODEC(job_notice_reply, taken)
+
+struct job_query {
+  static constexpr std::string_view message_name = "job_query";
+  std::string job;
+};
+COLTSFOOT_CODEC(job_query, job)
+
+struct job_query_reply {
+  static constexpr std::string_view message_name = "job_query_reply";
+  bool owner = false;  // false: the receiver is not the owner, and says nothing
+  bool known = false;
+  std::string state;
+};
+COLTSFOOT_CODEC(job_query_reply, owner, known, state)
+
+using peer_request = std::variant<gossip, fetch_config, submit_tasks, query_status, cancel_tasks,
+                                  run_request_once, place_task, query_tasks, stop_task,
+                                  task_updates, forward_request, job_notice, job_query>;
 
 // Reply of a node that does not own the unit a request was addressed to.
 struct not_owner_reply {
@@ -300,7 +330,8 @@
 using peer_reply =
     std::variant<gossip_reply, fetch_config_reply, submit_tasks_reply, query_status_reply,
                  cancel_tasks_reply, request_reply, place_task_reply, query_tasks_reply,
-                 stop_task_reply, task_updates_reply, not_owner_reply>;
+                 stop_task_reply, task_updates_reply, not_owner_reply, job_notice_reply,
+                 job_query_reply>;
 
 // Why a peer request got no reply.
 enum class peer_failure {
--- a/coltsfoot/node/node_core.h
+++ b/coltsfoot/node/node_core.h
@@ -107,6 +107,9 @@
   // Peer requests by their receiver (node_core_peers.cc).
   void receive(call_id call, const gossip& message, time_point now);
   void receive(call_id call, const fetch_config& message, time_point now);
+  // Jobs of a fleet belong to `jobs::job_node`, which runs in another program.
+  void receive(call_id call, const job_notice& message, time_point now);
+  void receive(call_id call, const job_query& message, time_point now);
   template <typename Message>
   void receive(call_id call, const Message& message, time_point now);
 
--- a/coltsfoot/node/node_core_peers.cc
+++ b/coltsfoot/node/node_core_peers.cc
@@ -45,6 +45,14 @@
   config_.on_fetch_config(call, message, out_);
 }
 
+void node_core::receive(call_id call, const job_notice& /*message*/, time_point /*now*/) {
+  out_.push(refuse_peer_request{.call = call});
+}
+
+void node_core::receive(call_id call, const job_query& /*message*/, time_point /*now*/) {
+  out_.push(refuse_peer_request{.call = call});
+}
+
 template <typename Message>
 void node_core::receive(call_id call, const Message& message, time_point now) {
   const auto pass_on = [&](auto& unit, unit_context& context) {
