--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -5,9 +5,20 @@
 #include <algorithm>
 #include <utility>
 
+#include "coltsfoot/base/hash.h"
 #include "coltsfoot/base/log_text.h"
 
 namespace coltsfoot::jobs {
+namespace {
+
+// Number of the first append of an owner. Claims of several nodes with one fence must differ in it:
+// the store takes a claim with the number of another for its repetition, and confirms it.
+std::uint64_t first_sequence(std::uint64_t life, std::uint64_t claims) {
+  constexpr std::uint64_t range = 1'000'000'000;
+  return stable_hash(std::to_string(life), std::to_string(claims)) % range;
+}
+
+}  // namespace
 
 job_node::job_node(job_node_options options, time_point now, log_sink log)
     : options_(std::move(options)),
@@ -53,6 +64,10 @@
   if (owner_) owner_->on_stop_answer(event.life, event.run, event.answer, now_);
 }
 
+void job_node::on(const pace_answered& event) {
+  if (owner_) owner_->on_pace_answer(event.life, event.run, event.answer);
+}
+
 void job_node::on(const look_answered& event) {
   if (owner_) owner_->on_look_answer(event.life, event.answer, event.sent_at, now_);
 }
@@ -226,7 +241,7 @@
                                .life = options_.life,
                                .peer_address = options_.peer_address};
   claim_call_ = new_call();
-  ++stats_.claims;
+  claim_sequence_ = first_sequence(options_.life, ++stats_.claims);
   log(severity::info,
       fmt::format("event=claim_sent fence={} at={} former_owner={} silent_ms={}",
                   pending_claim_->fence, jobs_.position(), log_value_or_none(claim_.node),
@@ -234,7 +249,8 @@
   push(append_to_jobs{.call = claim_call_,
                       .records = {claim_record(*pending_claim_)},
                       .only_at = jobs_.position(),
-                      .sequence = append_sequence{.fence = pending_claim_->fence, .number = 0},
+                      .sequence = append_sequence{.fence = pending_claim_->fence,
+                                                   .number = claim_sequence_},
                       .timeout = options_.append_timeout});
 }
 
@@ -256,7 +272,7 @@
 void job_node::become_owner(const owner_claim& claim) {
   ++stats_.takeovers;
   pending_claim_.reset();
-  owner_sequence_ = 1;
+  owner_sequence_ = claim_sequence_ + 1;
   owner_batch_open_ = false;
   owner_batch_.clear();
   owner_append_call_ = 0;
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -99,6 +99,7 @@
   void on(topic_read event);
   void on(const start_answered& event);
   void on(const stop_answered& event);
+  void on(const pace_answered& event);
   void on(const look_answered& event);
   void on(const peer_asked& event);
   void on(const peer_answered& event);
@@ -166,6 +167,7 @@
 
   std::optional<owner_claim> pending_claim_;
   call_id claim_call_ = 0;
+  std::uint64_t claim_sequence_ = 0;  // number of the claim under way
   time_point next_claim_{};
 
   std::optional<job_owner> owner_;
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -27,9 +27,18 @@
   return longest;
 }
 
-bool ends_by_itself(const job_spec& spec) {
-  return std::none_of(spec.steps.begin(), spec.steps.end(),
-                      [](const auto& step) { return step.long_running; });
+placed_run run_of_step(const step_spec& step, const task_progress& task, time_point now) {
+  return {.run = task.run,
+          .progressed_at = now,
+          .checkpoint = task.checkpoint,
+          .demand = {.millicores = step.fill ? 0 : step.demand.millicores,
+                     .memory_mb = step.demand.memory_mb,
+                     .accelerators = step.demand.accelerators},
+          .fill_millicores = step.fill ? step.demand.millicores : 0,
+          .serves = step.serves(),
+          .image = step.image,
+          .response_target = step.response_target,
+          .began = now};
 }
 
 }  // namespace
@@ -68,19 +77,13 @@
         // The journal knows a later life of the worker: the former one has ended.
         link.life.incarnation = std::max(link.life.incarnation, task.life.incarnation);
       }
-      const auto& step = j.step_of(j.ref_of(i));
-      link.add({.job = id, .index = i},
-               {.run = task.run,
-                .phase = start_phase::sent,
-                .doubtful = true,
-                .next_try = now + options_.order_timeout,
-                .progressed_at = now,
-                .checkpoint = task.checkpoint,
-                .demand = {.millicores = step.fill ? 0 : step.demand.millicores,
-                           .memory_mb = step.demand.memory_mb,
-                           .accelerators = step.demand.accelerators},
-                .fill_millicores = step.fill ? step.demand.millicores : 0,
-                .serves = step.serves()});
+      auto placed = run_of_step(j.step_of(j.ref_of(i)), task, now);
+      placed.phase = start_phase::sent;
+      placed.doubtful = true;
+      placed.next_try = now + options_.order_timeout;
+      // The former owner may have slowed it.
+      placed.pace_unsure = placed.fill_millicores > 0;
+      link.add({.job = id, .index = i}, std::move(placed));
     }
     if (j.cancel_requested) cancelling_.insert(id);
     if (j.accepted.spec.scheduled()) scheduled_.insert(id);
@@ -246,25 +249,9 @@
 
 // --- Placing ---
 
-std::int64_t job_owner::serving_demand() const {
-  std::int64_t sum = 0;
-  for (const auto& [worker, link] : links_) sum += link.serving_millicores;
-  for (const auto& [id, place] : places_) {
-    const auto* j = table_.find(id);
-    if (j == nullptr || ends_by_itself(j->accepted.spec)) continue;
-    for (task_index i = 0; i < j->tasks.size(); ++i) {
-      if (j->tasks[i].phase != task_phase::waiting) continue;
-      const auto& step = j->step_of(j->ref_of(i));
-      if (step.serves()) sum += step.demand.millicores;
-    }
-  }
-  return sum;
-}
-
 void job_owner::place(time_point now, wall_time wall) {
   wall_ = wall;
   if (waiting_.empty()) return;
-  reserve_for_serving(links_, serving_demand(), now);
   std::size_t unplaced = 0;
   // Placing changes `waiting_`.
   const std::vector<queue_place> order{waiting_.begin(), waiting_.end()};
@@ -317,7 +304,7 @@
   auto request = request_for(j, occurrence, step);
   for (auto i = first; i < last; ++i) {
     if (j.tasks[i].phase != task_phase::waiting) continue;
-    auto* link = choose_worker(request, links_, now);
+    auto* link = choose_worker(request, links_, model_, now);
     if (link == nullptr) return !could_ever_run(request, links_);
     assign(j, i, *link, j.tasks[i].run + 1, now);
     ++request.siblings[link->life.worker];
@@ -338,7 +325,7 @@
   auto request = request_for(j, occurrence, step);
   std::vector<std::pair<worker_link*, task_index>> chosen;
   for (auto i = first; i < last; ++i) {
-    auto* link = choose_worker(request, links_, now);
+    auto* link = choose_worker(request, links_, model_, now);
     if (link == nullptr) break;
     assign(j, i, *link, run, now);
     chosen.emplace_back(link, i);
@@ -365,14 +352,8 @@
   task.life = link.life;
   j.started = true;
   const task_key key{.job = j.accepted.id, .index = index};
-  link.add(key, {.run = run,
-                 .progressed_at = now,
-                 .checkpoint = task.checkpoint,
-                 .demand = {.millicores = step.fill ? 0 : step.demand.millicores,
-                            .memory_mb = step.demand.memory_mb,
-                            .accelerators = step.demand.accelerators},
-                 .fill_millicores = step.fill ? step.demand.millicores : 0,
-                 .serves = step.serves()});
+  auto placed = run_of_step(step, task, now);
+  link.add(key, std::move(placed));
   next_.starts.emplace_back(link.life.worker, key);
   mark_changed(j);
 }
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -22,6 +22,7 @@
 
 #include "coltsfoot/jobs/job_record.h"
 #include "coltsfoot/jobs/job_table.h"
+#include "coltsfoot/jobs/pacing.h"
 #include "coltsfoot/jobs/placement.h"
 #include "coltsfoot/jobs/worker_calls.h"
 #include "coltsfoot/jobs/worker_link.h"
@@ -55,6 +56,7 @@
   std::uint64_t runs_lost = 0;   // given up without an end
   std::uint64_t rejected = 0;    // starts that a worker rejected
   std::uint64_t unanswered = 0;  // orders without an answer
+  std::uint64_t paces = 0;       // orders to work slower or faster
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
 };
@@ -77,6 +79,7 @@
                        time_point now);
   void on_stop_answer(const worker_life& life, const run_ref& run, const order_answer& answer,
                       time_point now);
+  void on_pace_answer(const worker_life& life, const run_ref& run, const order_answer& answer);
   // `sent_at`: when the look was sent.
   void on_look_answer(const worker_life& life, const look_answer& answer, time_point sent_at,
                       time_point now);
@@ -136,7 +139,6 @@
   void assign(job& j, task_index index, worker_link& link, run_number run, time_point now);
   placement_request request_for(const job& j, std::uint32_t occurrence, std::uint32_t step) const;
   bool occurrence_due(const job& j, std::uint32_t occurrence) const;
-  std::int64_t serving_demand() const;
 
   // Workers.
   worker_link* link_of(const worker_life& life);
@@ -155,9 +157,12 @@
   void send_start(worker_link& link, const task_key& key, placed_run& run, time_point now);
   void send_stop(worker_link& link, const run_ref& run);
   void send_look(worker_link& link, time_point now);
+  void learn_interference(worker_link& link, const look_report& report, time_point now);
+  void pace_runs(worker_link& link, time_point now);
   void note_contact(worker_link& link, const std::optional<worker_clock>& clock, time_point now);
   void note_worker_failure(worker_link& link, time_point now);
 
+  void log_summary(time_point now) const;
   void log(severity level, const std::string& text) const;
 
   job_owner_options options_;
@@ -167,6 +172,7 @@
   wall_time wall_;  // of the last tick
   time_point inherited_until_;
   worker_links links_;
+  interference_model model_{{}};
   std::map<job_id, queue_place> places_;
   std::set<queue_place> waiting_;
   std::set<job_id> cancelling_;  // cancelled jobs with runs that have not ended
@@ -178,6 +184,7 @@
   recorded_effects in_flight_;  // of the batch that is being appended
   std::vector<worker_order> orders_;
   bool fenced_ = false;
+  time_point next_summary_{};
   job_owner_stats stats_;
 };
 
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "coltsfoot/base/log_text.h"
@@ -13,6 +14,14 @@
 // Times an order may go unanswered before the run is given up and stopped.
 constexpr duration patience_with_start{1'200};
 
+constexpr duration summary_interval{1'000};
+
+// Weight of a new figure beside the former ones, which it replaces with this time constant.
+double weight_of_newest(duration since_former) {
+  constexpr double time_constant_ms = 500;
+  return 1 - std::exp(-static_cast<double>(since_former.count()) / time_constant_ms);
+}
+
 std::string run_text(const run_ref& run) {
   return fmt::format("job={} task={}.{}.{} run={}", log_value(run.task.job.value),
                      run.task.occurrence, run.task.step, run.task.index, run.run);
@@ -360,6 +369,7 @@
     listed.insert(row.run);
     on_running(*link, row, now);
   }
+  learn_interference(*link, report, now);
   const auto seen_before = link->seen_end;
   for (const auto& row : report.ended) {
     listed.insert(row.run);
@@ -370,6 +380,7 @@
   if (link->seen_end != seen_before) {
     next_.ends[life.worker] = link->seen_end;
   }
+  pace_runs(*link, now);
   link->next_look =
       link->seen_end == link->recorded_end ? now : now + options_.unrecorded_look;
   send_due_orders(*link, now);
@@ -436,6 +447,73 @@
   if (cancelling_.contains(key.job)) settle_cancelled(*j, now);
 }
 
+// Takes the tails of the serving runs, and what the filling runs beside them use.
+void job_owner::learn_interference(worker_link& link, const look_report& report, time_point now) {
+  if (link.serving == 0 || !link.listing) return;
+  interference_sample sample;
+  const double weight = weight_of_newest(now - link.tail_at);
+  double highest = 0;
+  double sum = 0;
+  int serving = 0;
+  for (const auto& row : report.running) {
+    task_key key;
+    auto* run = run_of(link, row.run, key);
+    if (run == nullptr || row.figure <= 0) continue;
+    if (run->serves) {
+      const auto ratio = static_cast<double>(row.figure) /
+                         static_cast<double>(run->response_target.count());
+      run->tail_ratio += weight * (ratio - run->tail_ratio);
+      highest = std::max(highest, run->tail_ratio);
+      sum += ratio;
+      ++serving;
+    } else if (run->fill_millicores > 0) {
+      sample.shares[run->image] += static_cast<double>(row.figure) /
+                                   static_cast<double>(link.listing->capacity.millicores);
+    }
+  }
+  if (serving == 0) return;
+  link.tail_ratio = highest;
+  link.tail_at = now;
+  sample.tail_ratio = sum / serving;
+  model_.observe(sample);
+}
+
+void job_owner::pace_runs(worker_link& link, time_point now) {
+  if (!link.listing) return;
+  auto changes = pacing_changes(link, model_, {}, now);
+  if (!changes.empty()) link.paced_at = now;
+  for (const auto& [key, run] : link.runs) {
+    const bool repeat = run.pace_unsure && run.phase == start_phase::confirmed;
+    const bool changed = std::any_of(changes.begin(), changes.end(),
+                                     [&](const auto& change) { return change.key == key; });
+    if (repeat && !changed) changes.push_back({.key = key, .percent = run.pace});
+  }
+  for (const auto& change : changes) {
+    auto& run = link.runs.at(change.key);
+    const auto* j = table_.find(change.key.job);
+    if (j == nullptr) continue;
+    ++stats_.paces;
+    run.pace = change.percent;
+    run.pace_unsure = false;
+    orders_.push_back({.life = link.life,
+                       .address = link.listing->address,
+                       .order = pace_order{.run = {.task = j->ref_of(change.key.index),
+                                                   .run = run.run},
+                                           .percent = change.percent},
+                       .timeout = options_.order_timeout});
+  }
+}
+
+void job_owner::on_pace_answer(const worker_life& life, const run_ref& ref,
+                               const order_answer& answer) {
+  if (answer.verdict == order_verdict::fenced) fenced_ = true;
+  auto* link = link_of(life);
+  if (link == nullptr || answer.verdict == order_verdict::accepted) return;
+  task_key key;
+  auto* run = run_of(*link, ref, key);
+  if (run != nullptr) run->pace_unsure = true;
+}
+
 // Runs that a look should have listed and did not.
 void job_owner::settle_missing(worker_link& link, const std::set<run_ref>& listed,
                                time_point sent_at, time_point now) {
@@ -498,7 +576,32 @@
       scheduled_.erase(id);
     }
   }
+  if (now < next_summary_) return;
+  next_summary_ = now + summary_interval;
   drop_expired();
+  log_summary(now);
+}
+
+void job_owner::log_summary(time_point now) const {
+  std::size_t usable = 0;
+  std::size_t serving = 0;
+  std::size_t runs = 0;
+  resources capacity;
+  resources used;
+  std::int64_t fill = 0;
+  for (const auto& [id, link] : links_) {
+    if (link.usable(now)) ++usable;
+    if (link.serving > 0) ++serving;
+    if (link.listing) capacity += link.listing->capacity;
+    runs += link.runs.size();
+    used += link.used;
+    fill += link.fill_millicores;
+  }
+  log(severity::info,
+      fmt::format("event=fleet_load workers={} usable={} serving={} runs={} "
+                  "waiting_jobs={} capacity_millicores={} used_millicores={} fill_millicores={}",
+                  links_.size(), usable, serving, runs, waiting_.size(),
+                  capacity.millicores, used.millicores, fill));
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/node_messages.h
+++ b/coltsfoot/jobs/node_messages.h
@@ -96,6 +96,11 @@
   run_ref run;
   order_answer answer;
 };
+struct pace_answered {
+  worker_life life;
+  run_ref run;
+  order_answer answer;
+};
 struct look_answered {
   worker_life life;
   look_answer answer;
@@ -114,7 +119,7 @@
 
 using node_event =
     std::variant<caller_request, append_ended, topic_read, start_answered, stop_answered,
-                 look_answered, peer_asked, peer_answered, shutdown_asked, time_passed>;
+                 pace_answered, look_answered, peer_asked, peer_answered, shutdown_asked, time_passed>;
 
 // --- Commands ---
 
@@ -134,7 +139,7 @@
   store_topic topic = store_topic::jobs;
   follow_request request;
 };
-struct give_order {  // result: start_answered, stop_answered or look_answered
+struct give_order {  // result: start_answered, stop_answered, pace_answered or look_answered
   std::uint64_t fence = 0;
   worker_order order;
   time_point sent_at;
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -1,17 +1,20 @@
 #include "coltsfoot/jobs/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
-#include <vector>
 
 namespace coltsfoot::jobs {
 namespace {
 
-// Serving tasks disturb each other too: they get this share of a worker at most.
-constexpr int most_serving_percent = 75;
+// Share of their processors that serving tasks leave to filling ones, in percent.
+constexpr int left_by_serving_percent = 50;
 
-// Workers that are kept ready for serving tasks that have not come yet.
-constexpr std::size_t spare_serving_workers = 2;
+// The highest tail over target that a filling task may be expected to cause.
+constexpr double most_expected_ratio = 0.75;
+
+// A filling task shows in the reports of its worker after this time.
+constexpr duration shows_after{1'200};
 
 resources room_needed(const step_spec& step) {
   resources needed = step.demand;
@@ -32,48 +35,62 @@
   return found == request.siblings.end() || found->second < limit;
 }
 
-// Processors that neither own nor filling tasks use.
+// Processors that filling tasks could use and do not.
 std::int64_t idle_millicores(const worker_link& link) {
-  return link.free().millicores - link.fill_millicores;
+  return link.free().millicores + link.serving_millicores * left_by_serving_percent / 100 -
+         link.fill_millicores;
 }
 
-bool has_room(const step_spec& step, const worker_link& link) {
-  if (!room_needed(step).fits_in(link.free())) return false;
-  if (step.serves()) {
-    const auto limit = link.listing->capacity.millicores * most_serving_percent / 100;
-    return link.fill_millicores == 0 &&
-           link.serving_millicores + step.demand.millicores <= limit;
-  }
-  if (step.fill) {
-    return link.serving == 0 && !link.reserved_for_serving &&
-           idle_millicores(link) >= step.demand.millicores;
+double share_of(std::int64_t millicores, const worker_link& link) {
+  const auto capacity = std::max<std::int64_t>(link.listing->capacity.millicores, 1);
+  return static_cast<double>(millicores) / static_cast<double>(capacity);
+}
+
+// Logarithm of tail over target once all filling tasks that were placed show in the reports.
+double expected_pressure(const worker_link& link, const interference_model& model,
+                         time_point now) {
+  double pressure = std::log(std::max(link.tail_ratio, 0.1));
+  for (const auto& [key, run] : link.runs) {
+    if (run.fill_millicores == 0) continue;
+    const bool shows = run.phase == start_phase::confirmed && now - run.began > shows_after;
+    if (!shows) pressure += model.pressure_of(run.image, share_of(run.fill_millicores, link));
   }
-  return true;
+  return pressure;
+}
+
+bool has_room(const step_spec& step, const worker_link& link, const interference_model& model,
+              time_point now) {
+  if (!room_needed(step).fits_in(link.free())) return false;
+  if (!step.fill) return true;
+  if (idle_millicores(link) < step.demand.millicores) return false;
+  if (link.serving == 0) return true;
+  const auto added = model.pressure_of(step.image, share_of(step.demand.millicores, link));
+  return expected_pressure(link, model, now) + added <= std::log(most_expected_ratio);
 }
 
 // Compared as a whole; the greatest is chosen.
-using suitability = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+using suitability = std::tuple<bool, bool, std::int64_t>;
 
 suitability suitability_of(const placement_request& request, const worker_link& link) {
   const auto& step = *request.step;
   const bool near_data = !step.data_label.empty() && link.listing->has_label(step.data_label);
   const bool near_siblings =
       !request.preferred_rack.empty() && link.listing->rack() == request.preferred_rack;
-  if (step.serves()) {
-    return {near_data, near_siblings, link.reserved_for_serving ? 1 : 0,
-            -link.free().millicores};
-  }
-  return {near_data, near_siblings, link.reserved_for_serving ? 0 : 1, idle_millicores(link)};
+  if (step.serves()) return {near_data, near_siblings, -link.free().millicores};
+  return {near_data, near_siblings, idle_millicores(link)};
 }
 
 }  // namespace
 
-worker_link* choose_worker(const placement_request& request, worker_links& links, time_point now) {
+worker_link* choose_worker(const placement_request& request, worker_links& links,
+                           const interference_model& model, time_point now) {
   worker_link* best = nullptr;
   suitability best_value;
   for (auto& [id, link] : links) {
     if (!link.usable(now) || !meets_rules(request, *link.listing)) continue;
-    if (!within_worker_limit(request, id) || !has_room(*request.step, link)) continue;
+    if (!within_worker_limit(request, id) || !has_room(*request.step, link, model, now)) {
+      continue;
+    }
     const auto value = suitability_of(request, link);
     if (best != nullptr && value <= best_value) continue;
     best = &link;
@@ -90,23 +107,4 @@
   });
 }
 
-void reserve_for_serving(worker_links& links, std::int64_t serving_millicores, time_point now) {
-  std::vector<worker_link*> order;
-  for (auto& [id, link] : links) {
-    link.reserved_for_serving = false;
-    if (link.usable(now)) order.push_back(&link);
-  }
-  if (serving_millicores == 0) return;
-  std::stable_sort(order.begin(), order.end(), [](const auto* a, const auto* b) {
-    return a->serving_millicores > b->serving_millicores;
-  });
-  std::size_t spare = spare_serving_workers;
-  for (auto* link : order) {
-    const auto room = link->listing->capacity.millicores * most_serving_percent / 100;
-    if (serving_millicores <= 0 && spare-- == 0) return;
-    link->reserved_for_serving = true;
-    serving_millicores -= room;
-  }
-}
-
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -41,6 +41,12 @@
   resources demand;            // held room; a filling task holds no processors
   std::int64_t fill_millicores = 0;
   bool serves = false;
+  std::string image;
+  duration response_target{0};  // of a serving task
+  double tail_ratio = 0;        // smoothed tail over target of a serving task
+  std::uint32_t pace = 100;     // percent of its speed that it was told to work at
+  bool pace_unsure = false;     // the order for `pace` was not answered
+  time_point began{};           // when its order was first sent
 };
 
 struct worker_link {
@@ -58,7 +64,11 @@
   std::int64_t fill_millicores = 0;
   std::int32_t serving = 0;
   std::int64_t serving_millicores = 0;
-  bool reserved_for_serving = false;  // filling tasks go elsewhere
+
+  // Of the serving tasks: the highest smoothed tail over its target.
+  double tail_ratio = 0;
+  time_point tail_at{};
+  time_point paced_at{};  // when the pace of a run was changed last
 
   // Looks.
   bool looking = false;
