--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -194,8 +194,7 @@
                 .worker = platform::decode_worker,
                 .config_key = std::string{platform::config_key}}};
   options.owner.lease = std::min(options.owner.lease, settings.longest_lease);
-  options.drain_time =
-      std::max(settings.shutdown_grace - exit_margin, settings.shutdown_grace / 2);
+  options.drain_time = std::max(settings.shutdown_grace - exit_margin, settings.shutdown_grace / 2);
   return options;
 }
 
@@ -249,9 +248,9 @@
   start_logging({.node = settings.node});
   const sigset_t signals = block_signals();
   const log_sink sink = [](severity level, const std::string& text) { log_line(level, text); };
-  log_line(severity::info, fmt::format("event=starting version={} zone={} callers={} store={}",
-                                       COLTSFOOT_VERSION, log_value(settings.zone),
-                                       settings.caller_address, settings.store_address));
+  log_line(severity::info,
+           fmt::format("event=starting version={} zone={} callers={} store={}", COLTSFOOT_VERSION,
+                       log_value(settings.zone), settings.caller_address, settings.store_address));
   node_mailbox events;
   open_calls calls;
   shared_text metrics;
@@ -260,12 +259,12 @@
   platform::worker_client workers{http};
   peer_client peers{{.connect_timeout = duration{300}, .longest_backoff = duration{200}}, sink};
   const auto peer_listen = to_listen_address(settings.peer_address);
-  peer_server peer_requests{{.address = peer_listen.ip, .port = peer_listen.port},
-                            [&events](call_id call, peer_request request) {
-                              events.push(
-                                  jobs::peer_asked{.call = call, .request = std::move(request)});
-                            },
-                            sink};
+  peer_server peer_requests{
+      {.address = peer_listen.ip, .port = peer_listen.port},
+      [&events](call_id call, peer_request request) {
+        events.push(jobs::peer_asked{.call = call, .request = std::move(request)});
+      },
+      sink};
   fleet_executor executor{store, workers, peers, peer_requests, calls, events};
 
   const auto caller_listen = to_listen_address(settings.caller_address);
@@ -291,9 +290,9 @@
   internal::rest_listener metrics_server{
       {.ip = metrics_listen.ip, .port = metrics_listen.port},
       [&](const internal::rest_request&, const internal::rest_responder& respond) {
-        respond({.headers = {{.name = "Content-Type",
-                              .value = std::string{exposition::content_type}}},
-                 .body = metrics.get()});
+        respond(
+            {.headers = {{.name = "Content-Type", .value = std::string{exposition::content_type}}},
+             .body = metrics.get()});
       }};
   if (!started(peer_requests.start(), "peer_server") || !started(callers.start(), "callers") ||
       !started(readiness.start(), "readiness") || !started(metrics_server.start(), "metrics")) {
--- a/coltsfoot/jobs/interference_model.h
+++ b/coltsfoot/jobs/interference_model.h
@@ -1,9 +1,9 @@
 // Learns how much filling tasks slow the serving tasks beside them, by image.
 //
-// The model: the logarithm of a serving task's tail latency over its target is a base, plus for each
-// filling image a weight times the share of the worker's processors that the image uses. Weights
-// are learned from the workers' reports by normalised least mean squares, so that an image that
-// changes its behaviour is known again within seconds.
+// The model: the logarithm of a serving task's tail latency over its target is a base, plus for
+// each filling image a weight times the share of the worker's processors that the image uses.
+// Weights are learned from the workers' reports by normalised least mean squares, so that an image
+// that changes its behaviour is known again within seconds.
 //
 //   interference_model model{{}};
 //   model.observe({.shares = {{"img", 0.1}}, .tail_ratio = 0.8});
--- a/coltsfoot/jobs/job.h
+++ b/coltsfoot/jobs/job.h
@@ -84,14 +84,14 @@
 // A queue and its service, as the operator configures them.
 struct queue_config {
   queue_id id;
-  std::string host;         // of the caller's URL
-  std::string path_prefix;  // of the caller's URL; the longest match counts
-  service_id service;       // whose workers run the tasks
+  std::string host;           // of the caller's URL
+  std::string path_prefix;    // of the caller's URL; the longest match counts
+  service_id service;         // whose workers run the tasks
   std::int32_t priority = 0;  // 0 comes first
   std::uint32_t max_attempts = 1;
-  double slack_factor = 1;     // of the latency objective, times the longest chain of work
-  duration latency_target{0};  // of the latency objective, added to the chain
-  bool needs_approval = false;      // an advisor decides which workers may run a step
+  double slack_factor = 1;      // of the latency objective, times the longest chain of work
+  duration latency_target{0};   // of the latency objective, added to the chain
+  bool needs_approval = false;  // an advisor decides which workers may run a step
   duration approval_validity{0};
 };
 
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -142,9 +142,8 @@
   }
   for (const auto& record : change.records) apply_job_record(record);
   if (change.is_listing) {
-    log(severity::info,
-        fmt::format("event=jobs_listed jobs={} owner={} fence={}", table_.size(),
-                    log_value_or_none(claim_.node), claim_.fence));
+    log(severity::info, fmt::format("event=jobs_listed jobs={} owner={} fence={}", table_.size(),
+                                    log_value_or_none(claim_.node), claim_.fence));
   }
 }
 
@@ -242,16 +241,15 @@
                                .peer_address = options_.peer_address};
   claim_call_ = new_call();
   claim_sequence_ = first_sequence(options_.life, ++stats_.claims);
-  log(severity::info,
-      fmt::format("event=claim_sent fence={} at={} former_owner={} silent_ms={}",
-                  pending_claim_->fence, jobs_.position(), log_value_or_none(claim_.node),
-                  (now_ - owner_seen_).count()));
-  push(append_to_jobs{.call = claim_call_,
-                      .records = {claim_record(*pending_claim_)},
-                      .only_at = jobs_.position(),
-                      .sequence = append_sequence{.fence = pending_claim_->fence,
-                                                   .number = claim_sequence_},
-                      .timeout = options_.append_timeout});
+  log(severity::info, fmt::format("event=claim_sent fence={} at={} former_owner={} silent_ms={}",
+                                  pending_claim_->fence, jobs_.position(),
+                                  log_value_or_none(claim_.node), (now_ - owner_seen_).count()));
+  push(append_to_jobs{
+      .call = claim_call_,
+      .records = {claim_record(*pending_claim_)},
+      .only_at = jobs_.position(),
+      .sequence = append_sequence{.fence = pending_claim_->fence, .number = claim_sequence_},
+      .timeout = options_.append_timeout});
 }
 
 void job_node::on_claim_ended(append_verdict verdict) {
@@ -362,8 +360,8 @@
 void job_node::on(const shutdown_asked& /*event*/) {
   if (shutdown_at_) return;
   shutdown_at_ = now_;
-  log(severity::info, fmt::format("event=shutdown_started owner={} open_calls={}", is_owner(),
-                                  open_calls_.size()));
+  log(severity::info,
+      fmt::format("event=shutdown_started owner={} open_calls={}", is_owner(), open_calls_.size()));
 }
 
 void job_node::shut_down_when_due() {
@@ -381,8 +379,9 @@
   const bool shown = ready || keep;
   if (shown == ready_) return;
   ready_ = shown;
-  log(severity::info, fmt::format("event=readiness ready={} config={} caught_up={} store_contact={}",
-                                  ready_, config_version(), jobs_.caught_up(), in_contact));
+  log(severity::info,
+      fmt::format("event=readiness ready={} config={} caught_up={} store_contact={}", ready_,
+                  config_version(), jobs_.caught_up(), in_contact));
   push(show_ready{.ready = ready_});
 }
 
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -1,5 +1,5 @@
-// One node of a fleet that runs jobs: takes callers' requests, follows the journal of jobs, and owns
-// the jobs while its claim is the newest. A pure state machine between events and commands.
+// One node of a fleet that runs jobs: takes callers' requests, follows the journal of jobs, and
+// owns the jobs while its claim is the newest. A pure state machine between events and commands.
 //
 //   job_node node{options, now};
 //   for (auto& command : node.handle(event, now, wall)) execute(command);
@@ -43,17 +43,17 @@
   topic_follower_options jobs_topic{.poll_interval = duration{250}, .poll_wait = duration{400}};
   topic_follower_options config_topic{.poll_interval = duration{100}, .poll_wait = duration{1'500}};
   topic_follower_options workers_topic{.poll_interval = duration{400}, .poll_wait = duration{800}};
-  duration heartbeat{400};          // the owner writes at least this often
-  duration append_timeout{1'000};   // also of slow appends: the store may take 60 times as long
-  duration append_retry{40};        // after an append that was not recorded
-  duration claim_retry{200};        // after a claim that was not recorded
-  duration submit_patience{400};    // how long a submission is tried before it is refused
-  duration peer_timeout{300};       // of a question to the owner
-  duration fresh{1'000};            // age up to which a copy of the journal proves absence
-  duration store_silence{2'500};    // without the store for this long, a node is not ready
-  duration pause_limit{1'000};      // a pause in which a successor may have taken over
-  duration retry_after{1'000};      // told to callers
-  duration drain_time{4'000};       // from the shutdown's start to the end of the process
+  duration heartbeat{400};         // the owner writes at least this often
+  duration append_timeout{1'000};  // also of slow appends: the store may take 60 times as long
+  duration append_retry{40};       // after an append that was not recorded
+  duration claim_retry{200};       // after a claim that was not recorded
+  duration submit_patience{400};   // how long a submission is tried before it is refused
+  duration peer_timeout{300};      // of a question to the owner
+  duration fresh{1'000};           // age up to which a copy of the journal proves absence
+  duration store_silence{2'500};   // without the store for this long, a node is not ready
+  duration pause_limit{1'000};     // a pause in which a successor may have taken over
+  duration retry_after{1'000};     // told to callers
+  duration drain_time{4'000};      // from the shutdown's start to the end of the process
 };
 
 struct job_node_stats {
@@ -86,7 +86,7 @@
     std::vector<call_id> calls;
     caller_verdict verdict = caller_verdict::accepted;  // once recorded
     time_point arrived{};
-    time_point give_up{};  // the earliest deadline of the callers
+    time_point give_up{};   // the earliest deadline of the callers
     bool doubtful = false;  // an append of it may have been recorded
   };
   struct peer_query {
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -42,7 +42,8 @@
   const auto* queue = config_->match(request.host, request.path);
   if (queue == nullptr) return answer(request.call, {.verdict = caller_verdict::no_such_queue});
   const std::string name = request.path.substr(queue->path_prefix.size());
-  if (request.action == caller_action::count || (name.empty() && request.action == caller_action::query)) {
+  if (request.action == caller_action::count ||
+      (name.empty() && request.action == caller_action::query)) {
     return answer(request.call,
                   {.verdict = caller_verdict::counted, .pending = table_.pending(queue->id)});
   }
@@ -82,8 +83,8 @@
   const auto* known = table_.find(id);
   if (known == nullptr) {
     if (!journal_is_fresh()) {
-      return answer(request.call, {.verdict = caller_verdict::gone_wrong,
-                                   .retry_after = options_.retry_after});
+      return answer(request.call,
+                    {.verdict = caller_verdict::gone_wrong, .retry_after = options_.retry_after});
     }
     return answer(request.call, {.verdict = caller_verdict::no_such_job});
   }
@@ -176,9 +177,8 @@
     if (found == caller_appends_.end()) continue;
     const auto entry = std::move(found->second);
     caller_appends_.erase(found);
-    log(severity::info,
-        fmt::format("event=caller_record key={} outcome=recorded waited_ms={}",
-                    log_value(entry.record.key), (now_ - entry.arrived).count()));
+    log(severity::info, fmt::format("event=caller_record key={} outcome=recorded waited_ms={}",
+                                    log_value(entry.record.key), (now_ - entry.arrived).count()));
     apply_job_record(entry.record);
     notify_owner(entry.record);
     for (const auto call : entry.calls) answer(call, {.verdict = entry.verdict});
@@ -197,12 +197,12 @@
       continue;
     }
     const bool certain = !entry.doubtful && !under_way;
-    const auto verdict = !certain                                         ? caller_verdict::outcome_unknown
+    const auto verdict = !certain ? caller_verdict::outcome_unknown
                          : entry.verdict == caller_verdict::accepted ? caller_verdict::unavailable
                                                                      : caller_verdict::gone_wrong;
-    log(severity::warning, fmt::format("event=caller_record key={} outcome={} waited_ms={}",
-                                       log_value(key), name_of(verdict),
-                                       (now_ - entry.arrived).count()));
+    log(severity::warning,
+        fmt::format("event=caller_record key={} outcome={} waited_ms={}", log_value(key),
+                    name_of(verdict), (now_ - entry.arrived).count()));
     for (const auto call : entry.calls) {
       answer(call, {.verdict = verdict,
                     .retry_after = options_.retry_after,
@@ -244,8 +244,7 @@
   if (found == peer_queries_.end()) return;  // the result of a notice
   const auto query = found->second;
   peer_queries_.erase(found);
-  const auto* reply =
-      event.result ? std::get_if<job_query_reply>(&*event.result) : nullptr;
+  const auto* reply = event.result ? std::get_if<job_query_reply>(&*event.result) : nullptr;
   if (reply != nullptr && reply->owner && reply->known) {
     if (const auto state = parse_name<job_state>(reply->state)) {
       return answer(query.caller, {.verdict = caller_verdict::state, .state = *state});
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -89,8 +89,8 @@
     if (j.accepted.spec.scheduled()) scheduled_.insert(id);
     refresh_waiting(j);
   }
-  log(severity::info, fmt::format("event=jobs_taken_over fence={} open_jobs={} runs={}", fence_,
-                                  open, runs));
+  log(severity::info,
+      fmt::format("event=jobs_taken_over fence={} open_jobs={} runs={}", fence_, open, runs));
 }
 
 void job_owner::mark_changed(const job& j) {
@@ -101,9 +101,9 @@
 wall_time job_owner::due_time(const job& j) const {
   const auto& a = j.accepted;
   const auto chain = longest_chain(a.spec);
-  const auto allowed = duration{static_cast<std::int64_t>(static_cast<double>(chain.count()) *
-                                                          a.slack_factor)} +
-                       a.latency_target;
+  const auto allowed =
+      duration{static_cast<std::int64_t>(static_cast<double>(chain.count()) * a.slack_factor)} +
+      a.latency_target;
   return (a.spec.scheduled() ? a.spec.first_start : a.accepted_at) + allowed;
 }
 
@@ -191,9 +191,8 @@
   stop_runs_of(id, now);
   if (outcome == job_outcome::completed) ++stats_.completed;
   if (outcome == job_outcome::failed) ++stats_.failed;
-  log(severity::info,
-      fmt::format("event=job_ended job={} state={} age_ms={}", log_value(id.value),
-                  name_of(state_of(j)), (wall_ - j.accepted.accepted_at).count()));
+  log(severity::info, fmt::format("event=job_ended job={} state={} age_ms={}", log_value(id.value),
+                                  name_of(state_of(j)), (wall_ - j.accepted.accepted_at).count()));
 }
 
 void job_owner::on_task_done(job& j, task_index index, time_point now) {
@@ -263,8 +262,8 @@
   }
 }
 
-// Returns whether all waiting tasks got a worker, or no task could get one on any worker: such a job
-// does not count as waiting for room.
+// Returns whether all waiting tasks got a worker, or no task could get one on any worker: such a
+// job does not count as waiting for room.
 bool job_owner::place_job(job& j, time_point now) {
   bool placed_all = true;
   const auto& spec = j.accepted.spec;
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -1,6 +1,6 @@
-// The owner of the fleet's jobs: places tasks on workers, keeps their leases, takes note of ends and
-// decides when a job has ended. A pure state machine: it returns orders and journal records, and
-// sends nothing itself.
+// The owner of the fleet's jobs: places tasks on workers, keeps their leases, takes note of ends
+// and decides when a job has ended. A pure state machine: it returns orders and journal records,
+// and sends nothing itself.
 //
 // Each start is in the journal before its order is sent, so that a successor knows where a task may
 // run. An end is in the journal before the worker is told to forget it, and before a job is shown
@@ -34,14 +34,14 @@
   // Long enough to outlast the takeover by another node, short enough that the work of a worker
   // that was cut off goes on soon.
   duration lease{5'000};
-  duration look_wait{800};         // how long a worker may hold back its answer
-  duration look_timeout{1'500};    // `look_wait` included
-  duration order_timeout{400};     // of starts and stops
-  duration order_retry{150};       // between two tries of an order
-  duration look_retry{200};        // after a look that failed
-  duration unrecorded_look{400};   // between looks while ends wait for the journal
-  duration stop_settle{400};       // from a stop's answer until a look must show the end
-  duration stall_limit{2'500};     // a run without any progress is started elsewhere
+  duration look_wait{800};        // how long a worker may hold back its answer
+  duration look_timeout{1'500};   // `look_wait` included
+  duration order_timeout{400};    // of starts and stops
+  duration order_retry{150};      // between two tries of an order
+  duration look_retry{200};       // after a look that failed
+  duration unrecorded_look{400};  // between looks while ends wait for the journal
+  duration stop_settle{400};      // from a stop's answer until a look must show the end
+  duration stall_limit{2'500};    // a run without any progress is started elsewhere
   duration avoid_after_failures{2'000};
   std::uint32_t most_failures_in_a_row = 3;
   duration keep_ended{125'000};    // how long an ended job can be asked for
@@ -180,7 +180,7 @@
 
   std::set<job_id> dirty_;  // progress to be recorded
   std::vector<keyed_record> removals_;
-  recorded_effects next_;      // of the batch that will be taken next
+  recorded_effects next_;       // of the batch that will be taken next
   recorded_effects in_flight_;  // of the batch that is being appended
   std::vector<worker_order> orders_;
   bool fenced_ = false;
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -37,9 +37,9 @@
   if (fresh) {
     // Another owner may have granted a lease here without having recorded a run.
     link.lease = lease_clock{inherited_until_};
-    log(severity::info, fmt::format("event=worker_listed worker={} incarnation={} address={}",
-                                    log_value(listing.id.value), listing.incarnation,
-                                    log_value(listing.address)));
+    log(severity::info,
+        fmt::format("event=worker_listed worker={} incarnation={} address={}",
+                    log_value(listing.id.value), listing.incarnation, log_value(listing.address)));
   }
   if (listing.incarnation < link.life.incarnation) return;  // an entry of a former life
   if (listing.incarnation > link.life.incarnation) {
@@ -50,8 +50,7 @@
   link.listing = listing;
   link.listed = true;
   if (listing.draining && !was_draining) {
-    log(severity::info,
-        fmt::format("event=worker_drains worker={}", log_value(listing.id.value)));
+    log(severity::info, fmt::format("event=worker_drains worker={}", log_value(listing.id.value)));
     drain_runs(link, now);
   }
   send_due_orders(link, now);
@@ -61,9 +60,9 @@
   const auto found = links_.find(worker);
   if (found == links_.end() || !found->second.listed) return;
   auto& link = found->second;
-  log(severity::info, fmt::format("event=worker_unlisted worker={} runs={} draining={}",
-                                  log_value(worker.value), link.runs.size(),
-                                  link.listing->draining));
+  log(severity::info,
+      fmt::format("event=worker_unlisted worker={} runs={} draining={}", log_value(worker.value),
+                  link.runs.size(), link.listing->draining));
   // It is still looked at: an entry can be missing for a while although the worker lives.
   link.listed = false;
 }
@@ -115,9 +114,9 @@
 void job_owner::end_life(worker_link& link, std::string_view reason, time_point now) {
   std::vector<task_key> keys;
   for (const auto& [key, run] : link.runs) keys.push_back(key);
-  log(severity::info, fmt::format("event=worker_life_ended worker={} incarnation={} reason={} runs={}",
-                                  log_value(link.life.worker.value), link.life.incarnation, reason,
-                                  keys.size()));
+  log(severity::info,
+      fmt::format("event=worker_life_ended worker={} incarnation={} reason={} runs={}",
+                  log_value(link.life.worker.value), link.life.incarnation, reason, keys.size()));
   for (const auto& key : keys) lose_run(link, key, reason);
   link.seen_end = 0;
   link.recorded_end = 0;
@@ -148,10 +147,9 @@
   ++stats_.runs_lost;
   auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
-  log(severity::info,
-      fmt::format("event=run_over {} worker={} reason={}",
-                  run_text({.task = j->ref_of(key.index), .run = run}),
-                  log_value(link.life.worker.value), reason));
+  log(severity::info, fmt::format("event=run_over {} worker={} reason={}",
+                                  run_text({.task = j->ref_of(key.index), .run = run}),
+                                  log_value(link.life.worker.value), reason));
   requeue(*j, key.index, checkpoint);
 }
 
@@ -251,9 +249,9 @@
   auto* run = run_of(*link, ref, key);
   if (run == nullptr || run->phase != start_phase::sent) return;
   if (answer.verdict != order_verdict::accepted) {
-    log(severity::info, fmt::format("event=start_not_accepted {} worker={} verdict={}",
-                                    run_text(ref), log_value(life.worker.value),
-                                    name_of(answer.verdict)));
+    log(severity::info,
+        fmt::format("event=start_not_accepted {} worker={} verdict={}", run_text(ref),
+                    log_value(life.worker.value), name_of(answer.verdict)));
   }
   const auto reject = [&](std::string_view reason) {
     ++stats_.rejected;
@@ -381,8 +379,7 @@
     next_.ends[life.worker] = link->seen_end;
   }
   pace_runs(*link, now);
-  link->next_look =
-      link->seen_end == link->recorded_end ? now : now + options_.unrecorded_look;
+  link->next_look = link->seen_end == link->recorded_end ? now : now + options_.unrecorded_look;
   send_due_orders(*link, now);
 }
 
@@ -413,9 +410,9 @@
   end_run(link, key);
   auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
-  log(severity::info, fmt::format("event=run_ended {} worker={} end={} number={} stop_wanted={}",
-                                  run_text(row.run), log_value(link.life.worker.value),
-                                  name_of(row.end), row.number, wanted));
+  log(severity::info,
+      fmt::format("event=run_ended {} worker={} end={} number={} stop_wanted={}", run_text(row.run),
+                  log_value(link.life.worker.value), name_of(row.end), row.number, wanted));
   const auto& step = j->step_of(row.run.task);
   switch (row.end) {
     case run_end::done:
@@ -424,8 +421,8 @@
       if (step.long_running) {
         requeue(*j, key.index, row.checkpoint);
       } else if (step.gang) {
-        const auto first = j->index_of({.occurrence = row.run.task.occurrence,
-                                        .step = row.run.task.step});
+        const auto first =
+            j->index_of({.occurrence = row.run.task.occurrence, .step = row.run.task.step});
         for (auto i = first; i < first + step.count && !j->ended(); ++i) on_task_done(*j, i, now);
       } else {
         on_task_done(*j, key.index, now);
@@ -460,15 +457,15 @@
     auto* run = run_of(link, row.run, key);
     if (run == nullptr || row.figure <= 0) continue;
     if (run->serves) {
-      const auto ratio = static_cast<double>(row.figure) /
-                         static_cast<double>(run->response_target.count());
+      const auto ratio =
+          static_cast<double>(row.figure) / static_cast<double>(run->response_target.count());
       run->tail_ratio += weight * (ratio - run->tail_ratio);
       highest = std::max(highest, run->tail_ratio);
       sum += ratio;
       ++serving;
     } else if (run->fill_millicores > 0) {
-      sample.shares[run->image] += static_cast<double>(row.figure) /
-                                   static_cast<double>(link.listing->capacity.millicores);
+      sample.shares[run->image] +=
+          static_cast<double>(row.figure) / static_cast<double>(link.listing->capacity.millicores);
     }
   }
   if (serving == 0) return;
@@ -495,12 +492,12 @@
     ++stats_.paces;
     run.pace = change.percent;
     run.pace_unsure = false;
-    orders_.push_back({.life = link.life,
-                       .address = link.listing->address,
-                       .order = pace_order{.run = {.task = j->ref_of(change.key.index),
-                                                   .run = run.run},
-                                           .percent = change.percent},
-                       .timeout = options_.order_timeout});
+    orders_.push_back(
+        {.life = link.life,
+         .address = link.listing->address,
+         .order = pace_order{.run = {.task = j->ref_of(change.key.index), .run = run.run},
+                             .percent = change.percent},
+         .timeout = options_.order_timeout});
   }
 }
 
@@ -526,8 +523,8 @@
     }
     if (listed.contains({.task = j->ref_of(key.index), .run = run.run})) continue;
     const bool stopped = run.stop_answered && sent_at > *run.stop_answered + options_.stop_settle;
-    const bool vanished = run.phase == start_phase::confirmed && !run.stop_wanted &&
-                          sent_at > run.confirmed_at;
+    const bool vanished =
+        run.phase == start_phase::confirmed && !run.stop_wanted && sent_at > run.confirmed_at;
     if (stopped || vanished) lost.push_back(key);
   }
   for (const auto& key : lost) {
@@ -600,8 +597,8 @@
   log(severity::info,
       fmt::format("event=fleet_load workers={} usable={} serving={} runs={} "
                   "waiting_jobs={} capacity_millicores={} used_millicores={} fill_millicores={}",
-                  links_.size(), usable, serving, runs, waiting_.size(),
-                  capacity.millicores, used.millicores, fill));
+                  links_.size(), usable, serving, runs, waiting_.size(), capacity.millicores,
+                  used.millicores, fill));
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -123,8 +123,8 @@
 }
 
 tl::expected<void, record_error> apply_progress(std::string_view value, job& j) {
-  auto content = read_progress(
-      value, std::size_t{j.tasks_per_occurrence()} * j.accepted.spec.occurrences());
+  auto content =
+      read_progress(value, std::size_t{j.tasks_per_occurrence()} * j.accepted.spec.occurrences());
   if (!content) return tl::unexpected(content.error());
   j.outcome = content->outcome;
   j.started = content->started;
--- a/coltsfoot/jobs/job_table.h
+++ b/coltsfoot/jobs/job_table.h
@@ -66,7 +66,7 @@
 
 struct job {
   accepted_job accepted;
-  std::vector<task_progress> tasks;  // emptied when the job has ended
+  std::vector<task_progress> tasks;       // emptied when the job has ended
   std::vector<std::uint32_t> open_tasks;  // not done, by occurrence and step
   job_outcome outcome = job_outcome::open;
   bool cancel_requested = false;
--- a/coltsfoot/jobs/lease_clock.h
+++ b/coltsfoot/jobs/lease_clock.h
@@ -40,9 +40,7 @@
   time_point lapses_at() const { return lapses_at_; }
 
   // The longest time that a lease of `length` can last in real time.
-  static duration longest(duration length) {
-    return length * 100 / slowest_clock_percent + margin;
-  }
+  static duration longest(duration length) { return length * 100 / slowest_clock_percent + margin; }
 
  private:
   struct reading {
--- a/coltsfoot/jobs/node_messages.h
+++ b/coltsfoot/jobs/node_messages.h
@@ -117,9 +117,9 @@
 struct shutdown_asked {};
 struct time_passed {};
 
-using node_event =
-    std::variant<caller_request, append_ended, topic_read, start_answered, stop_answered,
-                 pace_answered, look_answered, peer_asked, peer_answered, shutdown_asked, time_passed>;
+using node_event = std::variant<caller_request, append_ended, topic_read, start_answered,
+                                stop_answered, pace_answered, look_answered, peer_asked,
+                                peer_answered, shutdown_asked, time_passed>;
 
 // --- Commands ---
 
--- a/coltsfoot/jobs/pacing.cc
+++ b/coltsfoot/jobs/pacing.cc
@@ -27,9 +27,8 @@
     const double share = static_cast<double>(run.fill_millicores) / capacity;
     out.push_back({.key = &key, .run = &run, .full_pressure = model.pressure_of(run.image, share)});
   }
-  std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
-    return a.full_pressure > b.full_pressure;
-  });
+  std::stable_sort(out.begin(), out.end(),
+                   [](const auto& a, const auto& b) { return a.full_pressure > b.full_pressure; });
   return out;
 }
 
@@ -48,8 +47,8 @@
     if (excess <= 0) break;
     const auto pace = entry.run->pace;
     if (pace == 0) continue;
-    const auto cut = std::min(pace, std::max(percent_for(excess, entry.full_pressure),
-                                             least_change_percent));
+    const auto cut =
+        std::min(pace, std::max(percent_for(excess, entry.full_pressure), least_change_percent));
     changes.push_back({.key = *entry.key, .percent = pace - cut});
     excess -= entry.full_pressure * cut / 100;
   }
@@ -65,8 +64,8 @@
   for (auto at = order.rbegin(); at != order.rend(); ++at) {
     const auto pace = at->run->pace;
     if (pace >= 100) continue;
-    const auto raise = link.serving == 0 ? 100 - pace
-                                         : std::min(100 - pace, percent_for(room, at->full_pressure));
+    const auto raise =
+        link.serving == 0 ? 100 - pace : std::min(100 - pace, percent_for(room, at->full_pressure));
     if (raise < std::min(least_change_percent, 100 - pace)) break;
     changes.push_back({.key = *at->key, .percent = pace + raise});
     room -= at->full_pressure * raise / 100;
--- a/coltsfoot/jobs/pacing.h
+++ b/coltsfoot/jobs/pacing.h
@@ -17,10 +17,10 @@
 namespace coltsfoot::jobs {
 
 struct pacing_options {
-  double slow_above = 0.9;    // tail over target
-  double slow_to = 0.75;      // tail over target that slowing is to bring about
-  double release_to = 0.75;   // tail over target that letting go may bring about
-  duration settle{700};       // until a change shows in the reports
+  double slow_above = 0.9;   // tail over target
+  double slow_to = 0.75;     // tail over target that slowing is to bring about
+  double release_to = 0.75;  // tail over target that letting go may bring about
+  duration settle{700};      // until a change shows in the reports
 };
 
 struct pace_change {
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -47,8 +47,7 @@
 }
 
 // Logarithm of tail over target once all filling tasks that were placed show in the reports.
-double expected_pressure(const worker_link& link, const interference_model& model,
-                         time_point now) {
+double expected_pressure(const worker_link& link, const interference_model& model, time_point now) {
   double pressure = std::log(std::max(link.tail_ratio, 0.1));
   for (const auto& [key, run] : link.runs) {
     if (run.fill_millicores == 0) continue;
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -1,9 +1,9 @@
 // Chooses the worker for a task.
 //
 // Load it answers: many short tasks with processors of their own, tasks that fill what those leave,
-// and tasks that serve users and suffer from filling tasks beside them. Serving tasks are packed, so
-// that large tasks find room; all others are spread. A filling task goes beside serving tasks only
-// as far as its image is known to leave their tails below the target.
+// and tasks that serve users and suffer from filling tasks beside them. Serving tasks are packed,
+// so that large tasks find room; all others are spread. A filling task goes beside serving tasks
+// only as far as its image is known to leave their tails below the target.
 //
 //   const placement_request request{.step = &step, .service = service};
 //   worker_link* chosen = choose_worker(request, links, model, now);
--- a/coltsfoot/jobs/worker_calls.h
+++ b/coltsfoot/jobs/worker_calls.h
@@ -45,16 +45,16 @@
 
 enum class order_verdict {
   accepted,
-  fenced,       // the worker has seen a higher fence
-  obsolete,     // not above a run of the task that has ended there
-  lease_over,   // the lease had ended when the order arrived
-  no_room,      //
-  bad_ticket,   //
-  malformed,    //
-  unhealthy,    // the worker refuses work
-  other_life,   // another life of the worker answered
-  not_sent,     // certainly not carried out
-  unanswered    // may be carried out, also later
+  fenced,      // the worker has seen a higher fence
+  obsolete,    // not above a run of the task that has ended there
+  lease_over,  // the lease had ended when the order arrived
+  no_room,     //
+  bad_ticket,  //
+  malformed,   //
+  unhealthy,   // the worker refuses work
+  other_life,  // another life of the worker answered
+  not_sent,    // certainly not carried out
+  unanswered   // may be carried out, also later
 };
 
 struct order_answer {
