--- a/coltsfoot/jobs/owner_election.cc
+++ b/coltsfoot/jobs/owner_election.cc
@@ -13,10 +13,9 @@
   return duration{static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(longest.count()))};
 }
 
-// The claim's holder runs no more: nobody needs to be waited for.
+// Nobody needs to be waited for.
 bool holder_is_gone(const election_inputs& in) {
-  if (in.claim.fence == 0 || in.claim.resigned) return true;
-  return in.claim.node == in.node;
+  return in.claim.fence == 0 || in.claim.resigned;
 }
 
 }  // namespace
@@ -25,14 +24,12 @@
   if (!in.caught_up || in.claiming || in.leaving || !in.healthy_since || !in.last_read) {
     return false;
   }
-  const bool gone = holder_is_gone(in);
   const bool own = in.claim.fence != 0 && in.claim.node == in.node;
   if (own) return true;
-  const auto wait = gone ? stagger_of(in, options.short_stagger)
-                         : options.silence + stagger_of(in, options.stagger);
+  if (holder_is_gone(in)) return now >= in.owner_seen + stagger_of(in, options.short_stagger);
   // Silence counts only while the journal could be read.
-  const auto since = std::max(in.owner_seen, *in.healthy_since);
-  return *in.last_read >= since + wait && now >= since + wait;
+  const auto heard_until = std::max(in.owner_seen, *in.healthy_since);
+  return *in.last_read >= heard_until + options.silence + stagger_of(in, options.stagger);
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/topic_follower.cc
+++ b/coltsfoot/jobs/topic_follower.cc
@@ -15,6 +15,7 @@
 }
 
 std::optional<topic_change> topic_follower::on_page(list_page page, time_point now) {
+  if (take_stale()) return std::nullopt;
   succeeded(now);
   due_ = now;
   if (!listing_started_) {
@@ -32,6 +33,7 @@
 }
 
 std::optional<topic_change> topic_follower::on_page(tail_page page, time_point now) {
+  if (take_stale()) return std::nullopt;
   succeeded(now);
   position_ = page.next;
   caught_up_ = page.next >= page.end;
@@ -41,13 +43,13 @@
 }
 
 void topic_follower::on_history_gone(time_point now) {
+  if (take_stale()) return;
   succeeded(now);
   restart();
-  reading_ = false;
-  due_ = now;
 }
 
 void topic_follower::on_failure(time_point now) {
+  stale_ = false;
   reading_ = false;
   healthy_since_.reset();
   backoff_ = std::clamp(backoff_ * 2, options_.first_backoff, options_.longest_backoff);
@@ -55,6 +57,7 @@
 }
 
 void topic_follower::restart() {
+  stale_ = reading_;
   listed_ = false;
   caught_up_ = false;
   listing_started_ = false;
@@ -63,6 +66,13 @@
   due_ = {};
 }
 
+bool topic_follower::take_stale() {
+  if (!stale_) return false;
+  stale_ = false;
+  reading_ = false;
+  return true;
+}
+
 void topic_follower::succeeded(time_point now) {
   reading_ = false;
   backoff_ = duration{0};
--- a/coltsfoot/jobs/topic_follower.h
+++ b/coltsfoot/jobs/topic_follower.h
@@ -82,9 +82,12 @@
 
  private:
   void succeeded(time_point now);
+  // Whether the read that has ended was sent before the last restart.
+  bool take_stale();
 
   topic_follower_options options_;
   bool reading_ = false;
+  bool stale_ = false;  // the read under way was sent before a restart
   bool listed_ = false;
   bool caught_up_ = false;
   bool listing_started_ = false;
--- /dev/null
+++ b/tests/jobs/fake_runner.h
@@ -0,0 +1,70 @@
+// A worker in memory that keeps the platform's promises: leases in its own clock, fences, run
+// numbers, and ends that are told until they are forgotten. It reports broken rules.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coltsfoot/jobs/worker_calls.h"
+
+namespace coltsfoot::testing {
+
+// What a worker needs to know of a task that it is told to start.
+struct task_work {
+  duration length{0};
+  resources demand;
+  bool fills = false;
+  bool lasts = false;
+  bool fails = false;
+};
+
+class fake_runner {
+ public:
+  using work_source = std::function<task_work(const jobs::run_ref&)>;
+
+  fake_runner(worker_id id, resources capacity, work_source work, time_point now);
+
+  jobs::order_answer start(const jobs::start_order& order, std::uint64_t fence, time_point now);
+  jobs::order_answer stop(const jobs::stop_order& order, std::uint64_t fence, time_point now);
+  jobs::look_answer look(const jobs::look_order& order, std::uint64_t fence, time_point now);
+  bool has_unforgotten_ends() const { return !ends_.empty(); }
+
+  // Ends what is due: tasks that are done, and all of them when the lease is over.
+  void advance(time_point now);
+  // All that runs is gone; the next life knows nothing.
+  void restart(time_point now);
+
+  const worker_id& id() const { return id_; }
+  std::uint64_t incarnation() const { return incarnation_; }
+  const resources& capacity() const { return capacity_; }
+
+  struct running {
+    jobs::run_number run = 0;
+    task_work work;
+    time_point began;
+    time_point ends;
+  };
+  const std::map<jobs::task_ref, running>& runs() const { return runs_; }
+
+ private:
+  jobs::worker_clock clock(time_point now) const;
+  void end(const jobs::task_ref& task, jobs::run_end how);
+  bool takes(std::uint64_t fence);
+  resources free() const;
+
+  worker_id id_;
+  resources capacity_;
+  work_source work_;
+  std::uint64_t incarnation_ = 1;
+  time_point born_;
+  std::uint64_t fence_ = 0;
+  jobs::worker_clock lease_end_ = 0;
+  std::map<jobs::task_ref, running> runs_;
+  std::map<jobs::task_ref, jobs::run_number> ended_runs_;  // highest by task
+  std::vector<jobs::ended_row> ends_;
+  std::uint64_t last_end_ = 0;
+};
+
+}  // namespace coltsfoot::testing
--- /dev/null
+++ b/tests/jobs/fake_store.h
@@ -0,0 +1,45 @@
+// A metadata store in memory: topics of keyed records with offsets, conditional appends, and
+// sequences of a writer that a later writer ends.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coltsfoot/jobs/node_messages.h"
+
+namespace coltsfoot::testing {
+
+class fake_store {
+ public:
+  jobs::append_verdict append(const jobs::append_to_jobs& command);
+  // Writes as the operator or as a worker.
+  void put(jobs::store_topic topic, const std::string& key, const std::string& value);
+
+  std::variant<jobs::list_page, jobs::tail_page, jobs::read_failed> read(
+      const jobs::read_topic& command) const;
+  // Whether a read would return records.
+  bool has_news(const jobs::read_topic& command) const;
+
+  // Drops all records but the newest of each key.
+  void compact();
+
+  std::size_t appends() const { return appends_; }
+
+ private:
+  struct topic {
+    log_offset first = 0;
+    std::vector<jobs::keyed_record> records;  // from `first` on
+    std::map<std::string, std::string> newest;
+    log_offset end() const { return first + records.size(); }
+  };
+  static void add(topic& t, const jobs::keyed_record& record);
+
+  std::map<jobs::store_topic, topic> topics_;
+  std::uint64_t fence_ = 0;
+  std::uint64_t last_number_ = 0;
+  std::size_t appends_ = 0;
+};
+
+}  // namespace coltsfoot::testing
--- /dev/null
+++ b/tests/jobs/job_fleet_test.cc
@@ -0,0 +1,289 @@
+// The whole path of jobs on virtual time, and the promises that hold through failures.
+#include <gtest/gtest.h>
+
+#include "tests/jobs/virtual_fleet.h"
+
+namespace coltsfoot::testing {
+namespace {
+
+using jobs::caller_verdict;
+using jobs::job_state;
+
+jobs::step_spec step(std::uint32_t count, duration length) {
+  return {.count = count, .demand = {.millicores = 1'000, .memory_mb = 500}, .estimate = length};
+}
+
+jobs::job_spec two_steps(std::uint32_t width) {
+  jobs::job_spec spec{.payload = "p",
+                      .steps = {step(width, duration{300}), step(width, duration{300})}};
+  spec.steps[1].depends_on = {0};
+  return spec;
+}
+
+jobs::job_spec lasting(std::uint32_t width) {
+  jobs::job_spec spec{.payload = "p", .steps = {step(width, duration{100})}};
+  spec.steps[0].long_running = true;
+  return spec;
+}
+
+// Waits until one node owns the jobs and knows the workers.
+void settle(virtual_fleet& fleet) {
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.owner() >= 0; }, duration{5'000}));
+  fleet.run_for(duration{500});
+}
+
+TEST(job_fleet_test, runs_steps_in_order_and_shows_the_end_at_every_node) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  const auto call = fleet.submit(1, "j", two_steps(4));
+  fleet.run_for(duration{50});
+  ASSERT_NE(fleet.answer_of(call), nullptr);
+  EXPECT_EQ(fleet.answer_of(call)->verdict, caller_verdict::accepted);
+  for (int node = 0; node < 3; ++node) {
+    EXPECT_TRUE(fleet.reaches(node, "j", job_state::completed, duration{2'000})) << node;
+  }
+  EXPECT_EQ(fleet.starts(), 8U);
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
+TEST(job_fleet_test, one_of_several_claims_at_once_wins) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    virtual_fleet fleet{{.nodes = 8, .seed = seed}};
+    fleet.run_for(duration{2'000});
+    EXPECT_GE(fleet.owner(), 0) << "seed " << seed;
+  }
+}
+
+TEST(job_fleet_test, an_id_that_is_submitted_twice_is_one_job) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  fleet.submit(0, "j", two_steps(3));
+  fleet.submit(2, "j", two_steps(3));
+  ASSERT_TRUE(fleet.reaches(1, "j", job_state::completed, duration{3'000}));
+  fleet.submit(1, "j", two_steps(3));
+  fleet.run_for(duration{2'000});
+  EXPECT_EQ(fleet.starts(), 6U);
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, a_killed_owner_is_replaced_and_running_work_goes_on) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  jobs::job_spec spec{.payload = "p", .steps = {step(4, duration{4'000})}};
+  fleet.submit(0, "j", spec);
+  fleet.run_for(duration{500});
+  ASSERT_EQ(fleet.running("j"), 4U);
+  const int first = fleet.owner();
+  fleet.kill_node(first);
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.owner() >= 0; }, duration{2'500}));
+  EXPECT_TRUE(fleet.reaches((first + 1) % 3, "j", job_state::completed, duration{6'000}));
+  EXPECT_EQ(fleet.starts(), 4U) << "no task was started again";
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, a_frozen_owner_gives_no_orders_when_it_wakes) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  fleet.submit(0, "long", lasting(4));
+  fleet.run_for(duration{300});
+  const int first = fleet.owner();
+  fleet.freeze_node(first, true);
+  for (int i = 0; i < 5; ++i) {
+    fleet.submit((first + 1) % 3, "j" + std::to_string(i), two_steps(4));
+    fleet.run_for(duration{800});
+  }
+  fleet.freeze_node(first, false);
+  fleet.run_for(duration{3'000});
+  EXPECT_EQ(fleet.running("long"), 4U);
+  EXPECT_GE(fleet.owner(), 0);
+  EXPECT_NE(fleet.owner(), first);
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, all_nodes_killed_at_once_lose_no_accepted_job) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  for (int i = 0; i < 6; ++i) fleet.submit(i % 3, "j" + std::to_string(i), two_steps(5));
+  fleet.run_for(duration{200});
+  for (int i = 0; i < 3; ++i) fleet.kill_node(i);
+  fleet.run_for(duration{1'500});
+  for (int i = 0; i < 3; ++i) fleet.start_node(i);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_TRUE(
+        fleet.reaches(i % 3, "j" + std::to_string(i), job_state::completed, duration{12'000}));
+  }
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, a_worker_that_is_cut_off_keeps_its_tasks_until_its_lease_is_over) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  fleet.submit(0, "j", lasting(4));
+  fleet.run_for(duration{500});
+  ASSERT_EQ(fleet.running("j"), 4U);
+  fleet.set_worker_reachable(0, false);
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.running("j") == 4U; }, duration{8'000}));
+  fleet.run_for(duration{8'000});
+  EXPECT_EQ(fleet.running("j"), 4U);
+  fleet.set_worker_reachable(0, true);
+  fleet.run_for(duration{3'000});
+  EXPECT_EQ(fleet.running("j"), 4U);
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, a_worker_that_restarts_under_its_id_gets_its_tasks_anew) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  fleet.submit(0, "j", lasting(4));
+  fleet.run_for(duration{500});
+  fleet.restart_worker(0);
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.running("j") == 4U; }, duration{3'000}));
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, a_draining_worker_is_emptied_of_lasting_tasks) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  fleet.submit(0, "j", lasting(8));
+  fleet.run_for(duration{500});
+  fleet.list_worker(0, true);
+  fleet.run_for(duration{2'000});
+  EXPECT_TRUE(fleet.worker(0).runs().empty());
+  EXPECT_EQ(fleet.running("j"), 8U);
+}
+
+TEST(job_fleet_test, a_cancelled_job_stops_and_stays_cancelled) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  fleet.submit(0, "j", lasting(4));
+  fleet.run_for(duration{500});
+  const auto call = fleet.cancel(1, "j");
+  fleet.run_for(duration{1'500});
+  ASSERT_NE(fleet.answer_of(call), nullptr);
+  EXPECT_EQ(fleet.answer_of(call)->verdict, caller_verdict::cancelled);
+  EXPECT_EQ(fleet.running("j"), 0U);
+  fleet.kill_node(fleet.owner());
+  fleet.run_for(duration{3'000});
+  EXPECT_EQ(fleet.running("j"), 0U);
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, a_store_that_is_down_refuses_jobs_at_once_and_stops_nothing) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  fleet.submit(0, "long", lasting(4));
+  fleet.run_for(duration{500});
+  fleet.set_store_down(true);
+  const auto call = fleet.submit(1, "j", two_steps(1));
+  fleet.run_for(duration{1'000});
+  ASSERT_NE(fleet.answer_of(call), nullptr);
+  EXPECT_EQ(fleet.answer_of(call)->verdict, caller_verdict::unavailable);
+  EXPECT_GT(fleet.answer_of(call)->retry_after, duration{0});
+  fleet.run_for(duration{9'000});
+  EXPECT_EQ(fleet.running("long"), 4U);
+  fleet.set_store_down(false);
+  fleet.run_for(duration{3'000});
+  EXPECT_EQ(fleet.running("long"), 4U);
+  EXPECT_EQ(fleet.running("j"), 0U) << "it was refused as not run";
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, an_owner_that_the_store_turns_away_is_replaced) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  const int first = fleet.owner();
+  fleet.cut_store(first, true);
+  fleet.run_for(duration{3'000});
+  const int second = fleet.owner();
+  EXPECT_GE(second, 0);
+  EXPECT_NE(second, first);
+  fleet.submit(second, "j", two_steps(4));
+  EXPECT_TRUE(fleet.reaches(second, "j", job_state::completed, duration{3'000}));
+  fleet.cut_store(first, false);
+  fleet.run_for(duration{2'000});
+  EXPECT_EQ(fleet.owner(), second);
+}
+
+TEST(job_fleet_test, a_forgotten_history_is_read_anew) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  for (int i = 0; i < 4; ++i) {
+    fleet.submit(i % 3, "j" + std::to_string(i), two_steps(3));
+    fleet.run_for(duration{100});
+    fleet.compact_store();
+  }
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(
+        fleet.reaches(i % 3, "j" + std::to_string(i), job_state::completed, duration{6'000}));
+  }
+  EXPECT_TRUE(fleet.broken().empty());
+}
+
+TEST(job_fleet_test, a_job_fails_after_its_attempts_and_no_start_follows) {
+  virtual_fleet fleet{{.failing_tasks = 1, .max_attempts = 2}};
+  settle(fleet);
+  fleet.submit(0, "j", two_steps(1));
+  EXPECT_TRUE(fleet.reaches(1, "j", job_state::failed, duration{15'000}));
+  const auto starts = fleet.starts();
+  fleet.run_for(duration{3'000});
+  EXPECT_EQ(starts, 2U);
+  EXPECT_EQ(fleet.starts(), starts);
+}
+
+TEST(job_fleet_test, a_node_that_shuts_down_hands_the_jobs_over_at_once) {
+  virtual_fleet fleet{{}};
+  settle(fleet);
+  const int first = fleet.owner();
+  fleet.ask_shutdown(first);
+  EXPECT_TRUE(
+      fleet.run_until([&] { return fleet.owner() >= 0 && fleet.owner() != first; }, duration{800}));
+}
+
+// Owners that are killed, frozen and cut off in series while answers are lost and orders come late.
+TEST(job_fleet_test, promises_hold_through_series_of_troubles) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    virtual_fleet fleet{{.nodes = 4,
+                         .workers = 6,
+                         .seed = seed,
+                         .lost_answers = 0.03,
+                         .late_orders = 0.03,
+                         .lost_append_answers = 0.03,
+                         .failing_tasks = 0.02,
+                         .max_attempts = 6}};
+    random_engine random{seed};
+    settle(fleet);
+    fleet.submit(0, "long", lasting(3));
+    int next_job = 0;
+    std::vector<std::pair<call_id, std::string>> submitted;
+    for (int round = 0; round < 25; ++round) {
+      const std::string id = "j" + std::to_string(next_job++);
+      submitted.emplace_back(fleet.submit(static_cast<int>(random() % 4), id, two_steps(4)), id);
+      const int node = fleet.owner() >= 0 ? fleet.owner() : static_cast<int>(random() % 4);
+      const int worker = static_cast<int>(random() % 6);
+      const auto trouble = random() % 9;
+      if (trouble == 0) fleet.kill_node(node);
+      if (trouble == 1) fleet.freeze_node(node, true);
+      if (trouble == 2) fleet.cut_store(node, true);
+      if (trouble == 3) fleet.set_worker_reachable(worker, false);
+      if (trouble == 4) fleet.restart_worker(worker);
+      if (trouble == 5) fleet.compact_store();
+      fleet.run_for(duration{static_cast<int>(200 + random() % 2'500)});
+      if (trouble == 0) fleet.start_node(node);
+      if (trouble == 1) fleet.freeze_node(node, false);
+      if (trouble == 2) fleet.cut_store(node, false);
+      if (trouble == 3) fleet.set_worker_reachable(worker, true);
+    }
+    fleet.run_for(duration{10'000});
+    for (const auto& [call, id] : submitted) {
+      const auto* answer = fleet.answer_of(call);
+      if (answer == nullptr || answer->verdict != caller_verdict::accepted) continue;
+      EXPECT_TRUE(fleet.reaches(0, id, job_state::completed, duration{8'000}))
+          << id << " seed " << seed;
+    }
+    EXPECT_EQ(fleet.running("long"), 3U) << "seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace coltsfoot::testing
--- /dev/null
+++ b/tests/jobs/virtual_fleet.cc
@@ -0,0 +1,450 @@
+#include "tests/jobs/virtual_fleet.h"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "coltsfoot/base/hash.h"
+
+namespace coltsfoot::testing {
+namespace {
+
+using jobs::append_verdict;
+using jobs::order_verdict;
+
+constexpr duration tick_interval{25};
+constexpr duration network_delay{1};
+constexpr duration append_time{5};
+constexpr duration worker_beat{1'000};
+constexpr std::string_view service = "svc";
+
+// The fakes write entries in a form of their own: the platform's is tested with its folder.
+std::string encode_worker(const fake_runner& runner, int number, bool draining) {
+  return fmt::format("{} {} {}", number, runner.incarnation(), draining ? 1 : 0);
+}
+
+jobs::store_codec codec_for(const fleet_options& options) {
+  return {.config = [options](std::string_view) -> tl::expected<jobs::fleet_config, std::string> {
+            jobs::fleet_config config{.version = 1};
+            config.queues.push_back({.id = jobs::queue_id{"q"},
+                                     .host = "h",
+                                     .path_prefix = "/q/",
+                                     .service = service_id{std::string{service}},
+                                     .max_attempts = options.max_attempts});
+            return config;
+          },
+          .worker = [options](std::string_view id, std::string_view value)
+              -> tl::expected<jobs::worker_listing, std::string> {
+            const std::string text{value};
+            char* rest = nullptr;
+            const auto number = std::strtol(text.c_str(), &rest, 10);
+            const auto incarnation = std::strtoull(rest, &rest, 10);
+            const bool draining = std::strtol(rest, &rest, 10) != 0;
+            return jobs::worker_listing{.id = worker_id{std::string{id}},
+                                        .incarnation = incarnation,
+                                        .service = service_id{std::string{service}},
+                                        .address = std::to_string(number),
+                                        .draining = draining,
+                                        .capacity = options.capacity,
+                                        .labels = {"a", "r" + std::to_string(number / 2)}};
+          },
+          .config_key = "config"};
+}
+
+}  // namespace
+
+virtual_fleet::virtual_fleet(fleet_options options) : options_(options), random_(options.seed) {
+  store_.put(jobs::store_topic::configuration, "config", "1");
+  for (int i = 0; i < options.workers; ++i) {
+    workers_.push_back(
+        {.runner = fake_runner{worker_id{"w" + std::to_string(i)}, options.capacity,
+                               [this](const auto& run) { return work_of(run); }, now_}});
+  }
+  beat();
+  nodes_.resize(static_cast<std::size_t>(options.nodes));
+  for (int i = 0; i < options.nodes; ++i) start_node(i);
+}
+
+bool virtual_fleet::chance(double share) {
+  return share > 0 && std::uniform_real_distribution<double>{}(random_) < share;
+}
+
+void virtual_fleet::after(duration delay, std::function<void()> action) {
+  agenda_.push({.at = now_ + delay, .order = ++order_, .action = std::move(action)});
+}
+
+void virtual_fleet::run_for(duration time) {
+  const auto end = now_ + time;
+  while (!agenda_.empty() && agenda_.top().at <= end) {
+    auto next = agenda_.top();
+    agenda_.pop();
+    now_ = next.at;
+    next.action();
+  }
+  now_ = end;
+}
+
+bool virtual_fleet::run_until(const std::function<bool()>& done, duration limit) {
+  const auto end = now_ + limit;
+  while (!done() && now_ < end) run_for(duration{20});
+  return done();
+}
+
+// --- Nodes ---
+
+void virtual_fleet::start_node(int node) {
+  auto& state = nodes_.at(static_cast<std::size_t>(node));
+  state = {.life = ++last_life_};
+  const auto log = [this, node](severity, const std::string& text) {
+    if (std::getenv("FLEET_LOG") != nullptr) {
+      std::cerr << (now_.time_since_epoch().count() - 1'000'000) << " n" << node << " " << text
+                << "\n";
+    }
+  };
+  jobs::job_node_options options{.node = "n" + std::to_string(node),
+                                 .life = state.life,
+                                 .peer_address = std::to_string(node),
+                                 .codec = codec_for(options_)};
+  state.core = std::make_unique<jobs::job_node>(std::move(options), now_, log);
+  tick(node, state.life);
+}
+
+void virtual_fleet::kill_node(int node) {
+  nodes_.at(static_cast<std::size_t>(node)) = {.life = ++last_life_};
+}
+
+void virtual_fleet::freeze_node(int node, bool frozen) {
+  auto& state = nodes_.at(static_cast<std::size_t>(node));
+  state.frozen = frozen;
+  if (frozen) return;
+  for (auto& event : std::exchange(state.waiting, {})) deliver(node, std::move(event));
+}
+
+void virtual_fleet::cut_store(int node, bool cut) {
+  nodes_.at(static_cast<std::size_t>(node)).store_cut = cut;
+}
+
+void virtual_fleet::ask_shutdown(int node) {
+  deliver(node, jobs::shutdown_asked{});
+}
+
+void virtual_fleet::tick(int node, std::uint64_t life) {
+  if (nodes_.at(static_cast<std::size_t>(node)).life != life) return;
+  if (!nodes_.at(static_cast<std::size_t>(node)).frozen) deliver(node, jobs::time_passed{});
+  after(tick_interval, [this, node, life] { tick(node, life); });
+}
+
+void virtual_fleet::deliver(int node, jobs::node_event event) {
+  auto& state = nodes_.at(static_cast<std::size_t>(node));
+  if (!state.core) return;
+  if (state.frozen) {
+    state.waiting.push_back(std::move(event));
+    return;
+  }
+  const wall_time wall{now_.time_since_epoch()};
+  auto commands = state.core->handle(std::move(event), now_, wall);
+  const auto life = state.life;
+  for (auto& command : commands) {
+    if (nodes_.at(static_cast<std::size_t>(node)).life == life) execute(node, std::move(command));
+  }
+}
+
+void virtual_fleet::deliver_after(int node, duration delay, jobs::node_event event) {
+  const auto life = nodes_.at(static_cast<std::size_t>(node)).life;
+  after(delay, [this, node, life, event = std::move(event)]() mutable {
+    if (nodes_.at(static_cast<std::size_t>(node)).life == life) deliver(node, std::move(event));
+  });
+}
+
+int virtual_fleet::owner() const {
+  int found = -1;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i].core || !nodes_[i].core->is_owner()) continue;
+    if (found >= 0) return -1;
+    found = static_cast<int>(i);
+  }
+  return found;
+}
+
+// --- Workers ---
+
+void virtual_fleet::list_worker(int worker, bool draining) {
+  auto& state = workers_.at(static_cast<std::size_t>(worker));
+  state.draining = draining;
+  store_.put(jobs::store_topic::workers, state.runner.id().value,
+             encode_worker(state.runner, worker, draining));
+}
+
+void virtual_fleet::beat() {
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    if (workers_[i].reachable) list_worker(static_cast<int>(i), workers_[i].draining);
+  }
+  after(worker_beat, [this] { beat(); });
+}
+
+void virtual_fleet::set_worker_reachable(int worker, bool reachable) {
+  auto& state = workers_.at(static_cast<std::size_t>(worker));
+  state.reachable = reachable;
+  if (!reachable) store_.put(jobs::store_topic::workers, state.runner.id().value, "");
+}
+
+void virtual_fleet::restart_worker(int worker) {
+  workers_.at(static_cast<std::size_t>(worker)).runner.restart(now_);
+}
+
+task_work virtual_fleet::work_of(const jobs::run_ref& run) {
+  const auto spec = specs_.find(run.task.job.value);
+  if (spec == specs_.end()) {
+    broken_.insert("UNASKED " + run.task.job.value);
+    return {};
+  }
+  const auto& step = spec->second.steps.at(run.task.step);
+  const auto seed = stable_hash(
+      run.task.job.value,
+      fmt::format("{}.{}.{}.{}", run.task.occurrence, run.task.step, run.task.index, run.run));
+  constexpr std::uint64_t grain = 10'000;
+  const bool fails = static_cast<double>(seed % grain) < options_.failing_tasks * grain;
+  return {.length = step.estimate,
+          .demand = step.demand,
+          .fills = step.fill,
+          .lasts = step.long_running,
+          .fails = fails};
+}
+
+std::size_t virtual_fleet::running(const std::string& id) const {
+  std::size_t count = 0;
+  for (const auto& worker : workers_) {
+    for (const auto& [task, run] : worker.runner.runs()) count += task.job.value == id ? 1 : 0;
+  }
+  return count;
+}
+
+// --- Checks ---
+
+void virtual_fleet::check_start(const jobs::run_ref& run, bool late) {
+  ++starts_;
+  const auto cancelled = cancelled_.find(run.task.job.value);
+  constexpr duration cancel_bound{3'000};
+  if (!late && cancelled != cancelled_.end() && now_ > cancelled->second + cancel_bound) {
+    broken_.insert("UNASKED start after cancellation of " + run.task.job.value);
+  }
+  if (done_.contains(run.task)) broken_.insert("TWICE start after done of " + run.task.job.value);
+}
+
+void virtual_fleet::check_runs() {
+  std::map<jobs::task_ref, int> places;
+  for (auto& worker : workers_) {
+    worker.runner.advance(now_);
+    for (const auto& [task, run] : worker.runner.runs()) {
+      if (++places[task] == 2) broken_.insert("TWICE at once " + task.job.value);
+    }
+  }
+}
+
+// --- Callers ---
+
+call_id virtual_fleet::ask(int node, const std::string& id, jobs::caller_action action,
+                           jobs::job_spec spec) {
+  const auto call = ++last_call_;
+  deliver(node, jobs::caller_request{.call = call,
+                                     .action = action,
+                                     .host = "h",
+                                     .path = "/q/" + id,
+                                     .time_left = duration{3'000},
+                                     .spec = std::move(spec)});
+  return call;
+}
+
+call_id virtual_fleet::submit(int node, const std::string& id, jobs::job_spec spec) {
+  specs_[id] = spec;
+  return ask(node, id, jobs::caller_action::submit, std::move(spec));
+}
+
+call_id virtual_fleet::cancel(int node, const std::string& id) {
+  const auto call = ask(node, id, jobs::caller_action::cancel, {});
+  cancels_[call] = id;
+  return call;
+}
+
+call_id virtual_fleet::query(int node, const std::string& id) {
+  return ask(node, id, jobs::caller_action::query, {});
+}
+
+const jobs::caller_answer* virtual_fleet::answer_of(call_id call) const {
+  const auto found = answers_.find(call);
+  return found == answers_.end() ? nullptr : &found->second;
+}
+
+bool virtual_fleet::reaches(int node, const std::string& id, jobs::job_state state,
+                            duration limit) {
+  const auto end = now_ + limit;
+  while (now_ < end) {
+    const auto call = query(node, id);
+    run_until([&] { return answer_of(call) != nullptr; }, duration{1'000});
+    const auto* answer = answer_of(call);
+    if (answer != nullptr && answer->verdict == jobs::caller_verdict::state &&
+        answer->state == state) {
+      return true;
+    }
+    run_for(duration{50});
+  }
+  return false;
+}
+
+// --- Commands ---
+
+void virtual_fleet::execute(int node, jobs::node_command command) {
+  std::visit([&](const auto& c) { run(node, c); }, command);
+}
+
+void virtual_fleet::run(int /*node*/, const jobs::answer_caller_call& c) {
+  answers_[c.call] = c.answer;
+  const auto cancel = cancels_.find(c.call);
+  if (cancel != cancels_.end() && c.answer.verdict == jobs::caller_verdict::cancelled) {
+    cancelled_.try_emplace(cancel->second, now_);
+  }
+}
+
+void virtual_fleet::run(int node, const jobs::append_to_jobs& c) {
+  const bool cut = store_down_ || nodes_.at(static_cast<std::size_t>(node)).store_cut;
+  if (cut) {
+    return deliver_after(
+        node, duration{50},
+        jobs::append_ended{.call = c.call, .verdict = append_verdict::not_recorded});
+  }
+  after(network_delay, [this, node, c] {
+    const auto verdict = store_.append(c);
+    if (chance(options_.lost_append_answers)) {
+      return deliver_after(node, c.timeout,
+                           jobs::append_ended{.call = c.call, .verdict = append_verdict::unknown});
+    }
+    deliver_after(node, append_time, jobs::append_ended{.call = c.call, .verdict = verdict});
+  });
+}
+
+void virtual_fleet::run(int node, const jobs::read_topic& c) {
+  const auto* tail = std::get_if<jobs::tail_request>(&c.request);
+  const auto wait = tail == nullptr ? duration{0} : tail->wait;
+  after(network_delay, [this, node, c, until = now_ + wait] { read_when_due(node, c, until); });
+}
+
+void virtual_fleet::read_when_due(int node, const jobs::read_topic& c, time_point until) {
+  jobs::topic_read event{.call = c.call, .topic = c.topic};
+  if (store_down_ || nodes_.at(static_cast<std::size_t>(node)).store_cut) {
+    event.page = jobs::read_failed{};
+    return deliver_after(node, duration{50}, std::move(event));
+  }
+  if (!store_.has_news(c) && now_ < until) {
+    return after(duration{5}, [this, node, c, until] { read_when_due(node, c, until); });
+  }
+  event.page = store_.read(c);
+  deliver_after(node, network_delay, std::move(event));
+}
+
+void virtual_fleet::run(int node, const jobs::give_order& c) {
+  if (const auto* look = std::get_if<jobs::look_order>(&c.order.order)) {
+    const auto until = now_ + look->wait;
+    return after(network_delay, [this, node, c, until] { look_when_due(node, c, until); });
+  }
+  const auto life = c.order.life;
+  const bool late = chance(options_.late_orders);
+  const bool answered = !late && !chance(options_.lost_answers);
+  const duration delay =
+      late ? duration{std::uniform_int_distribution<int>{2'000, 6'000}(random_)} : network_delay;
+  after(delay, [this, node, c, answered] { carry_out(node, c, answered); });
+  if (answered) return;
+  if (const auto* start = std::get_if<jobs::start_order>(&c.order.order)) {
+    deliver_after(node, c.order.timeout, jobs::start_answered{.life = life, .run = start->run});
+  } else if (const auto* stop = std::get_if<jobs::stop_order>(&c.order.order)) {
+    deliver_after(node, c.order.timeout, jobs::stop_answered{.life = life, .run = stop->run});
+  }
+}
+
+void virtual_fleet::carry_out(int node, const jobs::give_order& c, bool answered) {
+  auto& state = workers_.at(static_cast<std::size_t>(std::stoi(c.order.address)));
+  const auto life = c.order.life;
+  if (!state.reachable) {
+    if (!answered) return;
+    if (const auto* start = std::get_if<jobs::start_order>(&c.order.order)) {
+      deliver_after(node, c.order.timeout, jobs::start_answered{.life = life, .run = start->run});
+    } else if (const auto* stop = std::get_if<jobs::stop_order>(&c.order.order)) {
+      deliver_after(node, c.order.timeout, jobs::stop_answered{.life = life, .run = stop->run});
+    }
+    return;
+  }
+  if (const auto* start = std::get_if<jobs::start_order>(&c.order.order)) {
+    const bool there = state.runner.runs().contains(start->run.task);
+    const auto answer = state.runner.start(*start, c.fence, now_);
+    if (!there && state.runner.runs().contains(start->run.task)) check_start(start->run, !answered);
+    check_runs();
+    if (answered) {
+      deliver_after(node, network_delay,
+                    jobs::start_answered{.life = life, .run = start->run, .answer = answer});
+    }
+  } else if (const auto* stop = std::get_if<jobs::stop_order>(&c.order.order)) {
+    const auto answer = state.runner.stop(*stop, c.fence, now_);
+    if (answered) {
+      deliver_after(node, network_delay,
+                    jobs::stop_answered{.life = life, .run = stop->run, .answer = answer});
+    }
+  }
+}
+
+void virtual_fleet::look_when_due(int node, const jobs::give_order& c, time_point until) {
+  auto& state = workers_.at(static_cast<std::size_t>(std::stoi(c.order.address)));
+  const auto& look = std::get<jobs::look_order>(c.order.order);
+  jobs::look_answered event{.life = c.order.life, .sent_at = c.sent_at};
+  if (!state.reachable) {
+    return deliver_after(node, c.order.timeout, std::move(event));
+  }
+  state.runner.advance(now_);
+  if (!state.runner.has_unforgotten_ends() && now_ < until) {
+    return after(duration{5}, [this, node, c, until] { look_when_due(node, c, until); });
+  }
+  const auto before = state.runner.look({}, 0, now_).report.ended;
+  event.answer = state.runner.look(look, c.fence, now_);
+  if (event.answer.verdict == order_verdict::accepted) {
+    for (const auto& row : before) {
+      if (row.number <= look.forget_up_to && row.end == jobs::run_end::done) {
+        done_.insert(row.run.task);
+      }
+    }
+  }
+  deliver_after(node, network_delay, std::move(event));
+}
+
+void virtual_fleet::run(int node, const jobs::ask_peer& c) {
+  const int receiver = std::stoi(c.address);
+  after(network_delay, [this, node, receiver, c] {
+    const auto& state = nodes_.at(static_cast<std::size_t>(receiver));
+    if (!state.core || state.frozen) {
+      return deliver_after(
+          node, c.timeout,
+          jobs::peer_answered{.call = c.call, .result = tl::unexpected(peer_failure::unknown)});
+    }
+    const auto call = ++last_call_;
+    peer_calls_[{receiver, call}] = {node, c.call};
+    deliver(receiver, jobs::peer_asked{.call = call, .request = c.request});
+  });
+}
+
+void virtual_fleet::run(int node, const jobs::answer_peer& c) {
+  const auto found = peer_calls_.find({node, c.call});
+  if (found == peer_calls_.end()) return;
+  const auto [sender, call] = found->second;
+  peer_calls_.erase(found);
+  deliver_after(sender, network_delay, jobs::peer_answered{.call = call, .result = c.reply});
+}
+
+void virtual_fleet::run(int node, const jobs::refuse_peer& c) {
+  peer_calls_.erase({node, c.call});
+}
+
+void virtual_fleet::run(int /*node*/, const jobs::show_ready& /*c*/) {}
+
+void virtual_fleet::run(int node, const jobs::end_process& /*c*/) {
+  kill_node(node);
+}
+
+}  // namespace coltsfoot::testing
--- /dev/null
+++ b/tests/jobs/virtual_fleet.h
@@ -0,0 +1,142 @@
+// Job nodes on virtual time with a store and workers in memory, joined by a network that delays and
+// loses answers. One seed gives one run. It watches the workers and notes each broken promise.
+//
+//   virtual_fleet fleet{{.nodes = 3, .seed = 7}};
+//   fleet.run_for(duration{2'000});
+//   fleet.submit(0, "job-1", spec);
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coltsfoot/base/random.h"
+#include "coltsfoot/jobs/job_node.h"
+#include "tests/jobs/fake_runner.h"
+#include "tests/jobs/fake_store.h"
+
+namespace coltsfoot::testing {
+
+struct fleet_options {
+  int nodes = 3;
+  int workers = 4;
+  std::uint64_t seed = 1;
+  resources capacity{.millicores = 8'000, .memory_mb = 16'000};
+  double lost_answers = 0;         // share of orders that are carried out and not answered
+  double late_orders = 0;          // share of orders that are carried out seconds later, unanswered
+  double lost_append_answers = 0;  // share of appends that are done and not answered
+  double failing_tasks = 0;        // share of runs that end failed
+  std::uint32_t max_attempts = 3;
+};
+
+class virtual_fleet {
+ public:
+  explicit virtual_fleet(fleet_options options);
+
+  void run_for(duration time);
+  bool run_until(const std::function<bool()>& done, duration limit);
+
+  // --- Callers: the answer arrives in `answer_of` ---
+  call_id submit(int node, const std::string& id, jobs::job_spec spec);
+  call_id cancel(int node, const std::string& id);
+  call_id query(int node, const std::string& id);
+  const jobs::caller_answer* answer_of(call_id call) const;
+  // Asks through a node until it says that the job is in `state`.
+  bool reaches(int node, const std::string& id, jobs::job_state state, duration limit);
+
+  // --- Troubles ---
+  void kill_node(int node);
+  void start_node(int node);
+  void freeze_node(int node, bool frozen);
+  void cut_store(int node, bool cut);
+  void set_store_down(bool down) { store_down_ = down; }
+  void ask_shutdown(int node);
+  void set_worker_reachable(int worker, bool reachable);
+  void restart_worker(int worker);
+  void list_worker(int worker, bool draining);
+  void compact_store() { store_.compact(); }
+
+  // Number of the owner, or -1 if there is none or several nodes believe to be it.
+  int owner() const;
+  time_point now() const { return now_; }
+  const std::set<std::string>& broken() const { return broken_; }
+  std::size_t starts() const { return starts_; }
+  // Runs of a job that are on a worker now.
+  std::size_t running(const std::string& id) const;
+  const jobs::job_node& node(int number) const { return *nodes_.at(number).core; }
+  fake_runner& worker(int number) { return workers_.at(number).runner; }
+
+ private:
+  struct node_state {
+    std::unique_ptr<jobs::job_node> core;
+    std::uint64_t life = 0;  // events of a former life are dropped
+    bool frozen = false;
+    bool store_cut = false;
+    std::vector<jobs::node_event> waiting;  // while frozen
+  };
+  struct worker_state {
+    fake_runner runner;
+    bool reachable = true;
+    bool draining = false;
+  };
+  struct scheduled {
+    time_point at;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    friend bool operator>(const scheduled& a, const scheduled& b) {
+      return std::pair{a.at, a.order} > std::pair{b.at, b.order};
+    }
+  };
+
+  void after(duration delay, std::function<void()> action);
+  void deliver(int node, jobs::node_event event);
+  void deliver_after(int node, duration delay, jobs::node_event event);
+  void tick(int node, std::uint64_t life);
+  void beat();
+
+  void execute(int node, jobs::node_command command);
+  void run(int node, const jobs::answer_caller_call& c);
+  void run(int node, const jobs::append_to_jobs& c);
+  void run(int node, const jobs::read_topic& c);
+  void run(int node, const jobs::give_order& c);
+  void run(int node, const jobs::ask_peer& c);
+  void run(int node, const jobs::answer_peer& c);
+  void run(int node, const jobs::refuse_peer& c);
+  void run(int node, const jobs::show_ready& c);
+  void run(int node, const jobs::end_process& c);
+  void read_when_due(int node, const jobs::read_topic& c, time_point until);
+  void look_when_due(int node, const jobs::give_order& c, time_point until);
+  void carry_out(int node, const jobs::give_order& c, bool answered);
+
+  call_id ask(int node, const std::string& id, jobs::caller_action action, jobs::job_spec spec);
+  task_work work_of(const jobs::run_ref& run);
+  void check_start(const jobs::run_ref& run, bool late);
+  void check_runs();
+  bool chance(double share);
+
+  fleet_options options_;
+  random_engine random_;
+  time_point now_{duration{1'000'000}};
+  std::uint64_t order_ = 0;
+  std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> agenda_;
+  fake_store store_;
+  bool store_down_ = false;
+  std::vector<node_state> nodes_;
+  std::vector<worker_state> workers_;
+  std::map<std::string, jobs::job_spec> specs_;
+  std::map<std::string, time_point> cancelled_;  // when the cancellation was confirmed
+  std::map<call_id, std::string> cancels_;       // calls that cancel
+  std::map<call_id, jobs::caller_answer> answers_;
+  std::map<std::pair<int, call_id>, std::pair<int, call_id>> peer_calls_;  // receiver's to sender's
+  std::set<jobs::task_ref> done_;  // ends that the owner had told a worker to forget
+  std::set<std::string> broken_;
+  std::size_t starts_ = 0;
+  call_id last_call_ = 0;
+  std::uint64_t last_life_ = 0;
+};
+
+}  // namespace coltsfoot::testing
