--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -345,7 +345,8 @@
 void job_owner::assign(job& j, task_index index, worker_link& link, run_number run,
                        time_point now) {
   auto& task = j.tasks[index];
-  const auto& step = j.step_of(j.ref_of(index));
+  const auto ref = j.ref_of(index);
+  const auto& step = j.step_of(ref);
   task.phase = task_phase::assigned;
   task.run = run;
   task.life = link.life;
@@ -353,6 +354,10 @@
   const task_key key{.job = j.accepted.id, .index = index};
   auto placed = run_of_step(step, task, now);
   link.add(key, std::move(placed));
+  log(severity::info,
+      fmt::format("event=run_placed job={} task={}.{}.{} run={} worker={} idle_millicores={}",
+                  log_value(j.accepted.id.value), ref.occurrence, ref.step, ref.index, run,
+                  log_value(link.life.worker.value), link.free().millicores));
   next_.starts.emplace_back(link.life.worker, key);
   mark_changed(j);
 }
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -42,10 +42,8 @@
                     log_value(listing.id.value), listing.incarnation, log_value(listing.address)));
   }
   if (listing.incarnation < link.life.incarnation) return;  // an entry of a former life
-  if (listing.incarnation > link.life.incarnation) {
-    end_life(link, "listed_with_later_life", now);
-    begin_life(link, listing.incarnation, now);
-  }
+  // The worker itself says what of the former life's orders reached the new one.
+  if (listing.incarnation > link.life.incarnation) link.next_look = now;
   const bool was_draining = link.listing && link.listing->draining;
   link.listing = listing;
   link.listed = true;
@@ -123,13 +121,43 @@
   link.next_look = now;
 }
 
-void job_owner::begin_life(worker_link& link, std::uint64_t incarnation, time_point now) {
-  link.life.incarnation = incarnation;
+// The worker has restarted under its id. What it ran is gone, but an order for the former life may
+// have reached the new one, or may still do so.
+void job_owner::change_life(worker_link& link, const look_report& report, time_point now) {
+  log(severity::info,
+      fmt::format("event=worker_life_changed worker={} former={} incarnation={} runs={}",
+                  log_value(link.life.worker.value), link.life.incarnation, report.incarnation,
+                  link.runs.size()));
+  link.life.incarnation = report.incarnation;
   link.lease = lease_clock{now};
-  link.looking = false;
-  link.last_contact.reset();
-  link.failed_looks = 0;
+  link.seen_end = 0;
+  link.recorded_end = 0;
   link.failures_in_a_row = 0;
+  std::set<run_ref> listed;
+  for (const auto& row : report.running) listed.insert(row.run);
+  std::vector<task_key> over;
+  for (auto& [key, run] : link.runs) {
+    auto* j = table_.find(key.job);
+    if (j == nullptr || j->ended()) {
+      over.push_back(key);
+      continue;
+    }
+    const bool sent = run.phase == start_phase::sent || run.phase == start_phase::confirmed;
+    if (listed.contains({.task = j->ref_of(key.index), .run = run.run})) {
+      j->tasks[key.index].life = link.life;
+      mark_changed(*j);
+    } else if (!sent || (run.listed && !run.doubtful)) {
+      over.push_back(key);
+    } else {
+      // A stop keeps the order from being carried out later.
+      run.phase = start_phase::sent;
+      run.stop_wanted = true;
+      run.stop_sent = false;
+      run.stop_answered.reset();
+      run.next_try = now;
+    }
+  }
+  for (const auto& key : over) lose_run(link, key, "worker_restarted");
 }
 
 // Removes a run and settles what waits for its end.
@@ -349,13 +377,8 @@
     return;
   }
   const auto& report = answer.report;
-  if (report.incarnation != 0 && report.incarnation != link->life.incarnation) {
-    if (report.incarnation < link->life.incarnation) return;
-    end_life(*link, "reported_later_life", now);
-    begin_life(*link, report.incarnation, now);
-    if (link->listing) link->listing->incarnation = report.incarnation;
-    return;
-  }
+  if (report.incarnation != 0 && report.incarnation < link->life.incarnation) return;
+  if (report.incarnation > link->life.incarnation) change_life(*link, report, now);
   if (link->failed_looks >= 2) {
     log(severity::info, fmt::format("event=worker_regained worker={} failed_looks={}",
                                     log_value(life.worker.value), link->failed_looks));
@@ -395,6 +418,7 @@
     run->phase = start_phase::confirmed;
     run->confirmed_at = now;
   }
+  run->listed = true;
   if (row.percent != run->percent || run->progressed_at == time_point{}) {
     run->percent = row.percent;
     run->progressed_at = now;
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -29,6 +29,7 @@
 struct placed_run {
   run_number run = 0;
   start_phase phase = start_phase::recording;
+  bool listed = false;    // a report has shown it as running
   bool doubtful = false;  // an order got no answer: it may still be carried out
   time_point next_try{};
   time_point confirmed_at{};
