--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -10,23 +10,6 @@
 namespace coltsfoot::jobs {
 namespace {
 
-// Bounds the work of one placing pass when nothing fits.
-constexpr std::size_t most_unplaced_jobs = 64;
-
-// Longest chain of estimated work through the steps.
-duration longest_chain(const job_spec& spec) {
-  std::vector<duration> ends;
-  ends.reserve(spec.steps.size());
-  duration longest{0};
-  for (const auto& step : spec.steps) {
-    duration begin{0};
-    for (const auto earlier : step.depends_on) begin = std::max(begin, ends[earlier]);
-    ends.push_back(begin + step.estimate);
-    longest = std::max(longest, ends.back());
-  }
-  return longest;
-}
-
 placed_run run_of_step(const step_spec& step, const task_progress& task, time_point now) {
   return {.run = task.run,
           .progressed_at = now,
@@ -98,15 +81,6 @@
   next_.jobs.insert(j.accepted.id);
 }
 
-wall_time job_owner::due_time(const job& j) const {
-  const auto& a = j.accepted;
-  const auto chain = longest_chain(a.spec);
-  const auto allowed =
-      duration{static_cast<std::int64_t>(static_cast<double>(chain.count()) * a.slack_factor)} +
-      a.latency_target;
-  return (a.spec.scheduled() ? a.spec.first_start : a.accepted_at) + allowed;
-}
-
 bool job_owner::occurrence_due(const job& j, std::uint32_t occurrence) const {
   const auto& spec = j.accepted.spec;
   return !spec.scheduled() || spec.first_start + spec.interval * occurrence <= wall_;
@@ -131,16 +105,10 @@
 }
 
 void job_owner::refresh_waiting(const job& j) {
-  const auto& id = j.accepted.id;
-  const bool waits = !j.ended() && !j.cancel_requested && has_waiting_task(j);
-  const auto found = places_.find(id);
-  if (waits && found == places_.end()) {
-    const queue_place place{j.accepted.priority, due_time(j), id};
-    places_.emplace(id, place);
-    waiting_.insert(place);
-  } else if (!waits && found != places_.end()) {
-    waiting_.erase(found->second);
-    places_.erase(found);
+  if (!j.ended() && !j.cancel_requested && has_waiting_task(j)) {
+    waiting_.insert(j.accepted.id);
+  } else {
+    waiting_.erase(j.accepted.id);
   }
 }
 
@@ -251,32 +219,53 @@
 void job_owner::place(time_point now, wall_time wall) {
   wall_ = wall;
   if (waiting_.empty()) return;
-  std::size_t unplaced = 0;
-  // Placing changes `waiting_`.
-  const std::vector<queue_place> order{waiting_.begin(), waiting_.end()};
-  for (const auto& place : order) {
-    auto* j = table_.find(std::get<job_id>(place));
-    if (j == nullptr || j->ended()) continue;
-    if (!place_job(*j, now) && ++unplaced >= most_unplaced_jobs) break;
+  failed_demands_.clear();
+  std::vector<std::pair<job_urgency, job*>> order;
+  order.reserve(waiting_.size());
+  for (const auto& id : waiting_) {
+    if (auto* j = table_.find(id)) order.emplace_back(urgency_of(*j, correction_, wall_), j);
+  }
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.first, a.second->accepted.id) < std::tie(b.first, b.second->accepted.id);
+  });
+  for (const auto& [urgency, j] : order) {
+    place_job(*j, now);
     refresh_waiting(*j);
   }
 }
 
-// Returns whether all waiting tasks got a worker, or no task could get one on any worker: such a
-// job does not count as waiting for room.
-bool job_owner::place_job(job& j, time_point now) {
-  bool placed_all = true;
+void job_owner::place_job(job& j, time_point now) {
   const auto& spec = j.accepted.spec;
   for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
     if (!occurrence_due(j, occurrence)) break;
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
       if (j.open_in_step(occurrence, step) == 0 || !j.step_ready(occurrence, step)) continue;
-      const bool placed = spec.steps[step].gang ? place_gang(j, occurrence, step, now)
-                                                : place_step(j, occurrence, step, now);
-      placed_all = placed_all && placed;
+      if (spec.steps[step].gang) {
+        place_gang(j, occurrence, step, now);
+      } else {
+        place_step(j, occurrence, step, now);
+      }
     }
   }
-  return placed_all;
+}
+
+// Chooses a worker, unless a demand that is no larger found none in this pass.
+worker_link* job_owner::find_worker(const placement_request& request, time_point now) {
+  const auto& step = *request.step;
+  const auto& image = step.fill ? step.image : std::string{};
+  const bool hopeless =
+      std::any_of(failed_demands_.begin(), failed_demands_.end(), [&](const auto& failed) {
+        return failed.service == request.service && failed.fill == step.fill &&
+               failed.image == image && failed.demand.fits_in(step.demand);
+      });
+  if (hopeless) return nullptr;
+  auto* chosen = choose_worker(request, links_, model_, now);
+  const bool any_worker = step.required_label.empty() && step.max_per_worker == 0;
+  if (chosen == nullptr && any_worker) {
+    failed_demands_.push_back(
+        {.service = request.service, .fill = step.fill, .image = image, .demand = step.demand});
+  }
+  return chosen;
 }
 
 placement_request job_owner::request_for(const job& j, std::uint32_t occurrence,
@@ -297,41 +286,40 @@
   return request;
 }
 
-bool job_owner::place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
+void job_owner::place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
   const auto first = j.index_of({.occurrence = occurrence, .step = step});
   const auto last = first + j.accepted.spec.steps[step].count;
   auto request = request_for(j, occurrence, step);
   for (auto i = first; i < last; ++i) {
     if (j.tasks[i].phase != task_phase::waiting) continue;
-    auto* link = choose_worker(request, links_, model_, now);
-    if (link == nullptr) return !could_ever_run(request, links_);
+    auto* link = find_worker(request, now);
+    if (link == nullptr) return;
     assign(j, i, *link, j.tasks[i].run + 1, now);
     ++request.siblings[link->life.worker];
     if (request.step->tightly_coupled) request.preferred_rack = link->listing->rack();
   }
-  return true;
 }
 
 // Places all tasks of a step or none. Runs of one gang share their number.
-bool job_owner::place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
+void job_owner::place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
   const auto first = j.index_of({.occurrence = occurrence, .step = step});
   const auto last = first + j.accepted.spec.steps[step].count;
   run_number run = 0;
   for (auto i = first; i < last; ++i) {
-    if (j.tasks[i].phase != task_phase::waiting) return true;  // the former runs still end
+    if (j.tasks[i].phase != task_phase::waiting) return;  // the former runs still end
     run = std::max(run, j.tasks[i].run + 1);
   }
   auto request = request_for(j, occurrence, step);
   std::vector<std::pair<worker_link*, task_index>> chosen;
   for (auto i = first; i < last; ++i) {
-    auto* link = choose_worker(request, links_, model_, now);
+    auto* link = find_worker(request, now);
     if (link == nullptr) break;
     assign(j, i, *link, run, now);
     chosen.emplace_back(link, i);
     ++request.siblings[link->life.worker];
     if (request.step->tightly_coupled) request.preferred_rack = link->listing->rack();
   }
-  if (chosen.size() == last - first) return true;
+  if (chosen.size() == last - first) return;
   // Nothing of it is recorded yet, so that the assignments can be undone.
   for (const auto& [link, index] : chosen) {
     link->remove({.job = j.accepted.id, .index = index});
@@ -339,7 +327,6 @@
     j.tasks[index].phase = task_phase::waiting;
     j.tasks[index].life = {};
   }
-  return !could_ever_run(request, links_);
 }
 
 void job_owner::assign(job& j, task_index index, worker_link& link, run_number run,
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -22,6 +22,7 @@
 
 #include "coltsfoot/jobs/job_record.h"
 #include "coltsfoot/jobs/job_table.h"
+#include "coltsfoot/jobs/job_urgency.h"
 #include "coltsfoot/jobs/pacing.h"
 #include "coltsfoot/jobs/placement.h"
 #include "coltsfoot/jobs/worker_calls.h"
@@ -107,8 +108,13 @@
   std::size_t waiting_jobs() const { return waiting_.size(); }
 
  private:
-  // Order in which waiting jobs get room: priority, then the time by which the job should end.
-  using queue_place = std::tuple<std::int32_t, wall_time, job_id>;
+  // A demand for which no worker had room.
+  struct failed_demand {
+    service_id service;
+    bool fill = false;
+    std::string image;  // of a filling task
+    resources demand;
+  };
 
   // What may be done once the batch that it belongs to is recorded.
   struct recorded_effects {
@@ -123,7 +129,6 @@
   void mark_changed(const job& j);
   void refresh_waiting(const job& j);
   bool has_waiting_task(const job& j) const;
-  wall_time due_time(const job& j) const;
   void finish(job& j, job_outcome outcome, time_point now);
   void on_task_done(job& j, task_index index, time_point now);
   void on_task_failed(job& j, task_index index, const std::string& checkpoint, time_point now);
@@ -133,9 +138,10 @@
   void drop_expired();
 
   // Placing.
-  bool place_job(job& j, time_point now);
-  bool place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
-  bool place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
+  void place_job(job& j, time_point now);
+  worker_link* find_worker(const placement_request& request, time_point now);
+  void place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
+  void place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
   void assign(job& j, task_index index, worker_link& link, run_number run, time_point now);
   placement_request request_for(const job& j, std::uint32_t occurrence, std::uint32_t step) const;
   bool occurrence_due(const job& j, std::uint32_t occurrence) const;
@@ -173,10 +179,11 @@
   time_point inherited_until_;
   worker_links links_;
   interference_model model_{{}};
-  std::map<job_id, queue_place> places_;
-  std::set<queue_place> waiting_;
-  std::set<job_id> cancelling_;  // cancelled jobs with runs that have not ended
-  std::set<job_id> scheduled_;   // jobs with occurrences that are not due yet
+  estimate_correction correction_;
+  std::set<job_id> waiting_;                   // open jobs with a task that could be placed
+  std::vector<failed_demand> failed_demands_;  // of the present placing pass
+  std::set<job_id> cancelling_;                // cancelled jobs with runs that have not ended
+  std::set<job_id> scheduled_;                 // jobs with occurrences that are not due yet
 
   std::set<job_id> dirty_;  // progress to be recorded
   std::vector<keyed_record> removals_;
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -431,6 +431,7 @@
   auto* run = run_of(link, row.run, key);
   if (run == nullptr) return;  // another run of the task counts
   const bool wanted = run->stop_wanted;
+  const auto taken = now - run->began;
   end_run(link, key);
   auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
@@ -442,6 +443,7 @@
     case run_end::done:
       ++stats_.ends_done;
       link.failures_in_a_row = 0;
+      correction_.observe(j->accepted.queue, step.estimate, taken);
       if (step.long_running) {
         requeue(*j, key.index, row.checkpoint);
       } else if (step.gang) {
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -98,12 +98,4 @@
   return best;
 }
 
-bool could_ever_run(const placement_request& request, const worker_links& links) {
-  return std::any_of(links.begin(), links.end(), [&](const auto& entry) {
-    const auto& listing = entry.second.listing;
-    return listing && meets_rules(request, *listing) &&
-           room_needed(*request.step).fits_in(listing->capacity);
-  });
-}
-
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -32,7 +32,4 @@
 worker_link* choose_worker(const placement_request& request, worker_links& links,
                            const interference_model& model, time_point now);
 
-// Whether an empty worker of the service could run the task.
-bool could_ever_run(const placement_request& request, const worker_links& links);
-
 }  // namespace coltsfoot::jobs
