Learn interference by pair of images, in headroom

Cause: the model knew one weight per filling image and worked on the logarithm of the tail.

Ruled out: a lack of processors.

Change: weights by pair, in headroom; serving tasks of one image are placed together; the pacing slows what disturbs the serving image in need.

--- a/coltsfoot/jobs/interference_model.h
+++ b/coltsfoot/jobs/interference_model.h
@@ -1,46 +1,49 @@
-// Learns how much filling tasks slow the serving tasks beside them, by image.
+// Learns how much filling tasks slow the serving tasks beside them, by pair of images.
 //
-// The model: the logarithm of a serving task's tail latency over its target is a base, plus for
-// each filling image a weight times the share of the worker's processors that the image uses.
-// Weights are learned from the workers' reports by normalised least mean squares, so that an image
-// that changes its behaviour is known again within seconds.
+// The model: the headroom of a serving task, which is its target over its tail latency, is a base
+// for its image, less a weight for each filling image times the share of the worker's processors
+// that the filling image uses. A task's tail grows as the inverse of the speed that is left to it,
+// so that effects add up in the headroom. Weights are learned from the workers' reports by
+// normalised least mean squares: an image that changes its behaviour is known again in seconds.
 //
 //   interference_model model{{}};
-//   model.observe({.shares = {{"img", 0.1}}, .tail_ratio = 0.8});
-//   model.pressure_of("img", 0.1);
+//   model.observe("search", 1.8, {{"sort", 0.1}});
+//   model.loss("search", "sort", 0.1);
 #pragma once
 
 #include <map>
 #include <string>
+#include <utility>
 
 namespace coltsfoot::jobs {
 
 struct interference_options {
-  double first_weight = 1.5;  // of an image that was never seen: neither harmless nor forbidden
-  double learning_rate = 0.15;
-  double most_weight = 12;
-  double first_base = -1;  // logarithm of tail over target without filling tasks
+  double first_weight = 2;  // of a pair that was never seen: neither harmless nor forbidden
+  double most_weight = 15;
+  double learning_rate = 0.1;
+  double first_base = 2.5;  // headroom without filling tasks
+  double base_rate = 0.02;
 };
 
-struct interference_sample {
-  std::map<std::string, double> shares;  // used share of the worker's processors, by image
-  double tail_ratio = 0;                 // mean tail over target of the serving tasks
-};
+// Used share of a worker's processors (0 to 1), by filling image.
+using fill_shares = std::map<std::string, double>;
 
 class interference_model {
  public:
   explicit interference_model(interference_options options) : options_(options) {}
 
-  void observe(const interference_sample& sample);
+  // Notes the headroom of a serving task of image `serving` beside `fill`.
+  void observe(const std::string& serving, double headroom, const fill_shares& fill);
 
-  // What an image that uses `share` of a worker adds to the logarithm of the tail.
-  double pressure_of(const std::string& image, double share) const;
-  double weight_of(const std::string& image) const;
+  // Headroom that a task of image `serving` loses to `fill` at `share` of the processors.
+  double loss(const std::string& serving, const std::string& fill, double share) const;
 
  private:
+  using image_pair = std::pair<std::string, std::string>;
+
   interference_options options_;
-  std::map<std::string, double> weights_;
-  double base_ = options_.first_base;
+  std::map<image_pair, double> weights_;
+  std::map<std::string, double> bases_;
 };
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -435,10 +435,12 @@
   end_run(link, key);
   auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
-  log(severity::info,
-      fmt::format("event=run_ended {} worker={} end={} number={} stop_wanted={}", run_text(row.run),
-                  log_value(link.life.worker.value), name_of(row.end), row.number, wanted));
   const auto& step = j->step_of(row.run.task);
+  log(severity::info,
+      fmt::format("event=run_ended {} worker={} end={} number={} stop_wanted={} took_ms={} "
+                  "estimated_ms={}",
+                  run_text(row.run), log_value(link.life.worker.value), name_of(row.end),
+                  row.number, wanted, taken.count(), step.estimate.count()));
   switch (row.end) {
     case run_end::done:
       ++stats_.ends_done;
@@ -473,32 +475,26 @@
 // Takes the tails of the serving runs, and what the filling runs beside them use.
 void job_owner::learn_interference(worker_link& link, const look_report& report, time_point now) {
   if (link.serving == 0 || !link.listing) return;
-  interference_sample sample;
-  const double weight = weight_of_newest(now - link.tail_at);
-  double highest = 0;
-  double sum = 0;
-  int serving = 0;
+  fill_shares shares;
+  std::vector<std::pair<placed_run*, double>> observed;
   for (const auto& row : report.running) {
     task_key key;
     auto* run = run_of(link, row.run, key);
     if (run == nullptr || row.figure <= 0) continue;
     if (run->serves) {
-      const auto ratio =
-          static_cast<double>(row.figure) / static_cast<double>(run->response_target.count());
-      run->tail_ratio += weight * (ratio - run->tail_ratio);
-      highest = std::max(highest, run->tail_ratio);
-      sum += ratio;
-      ++serving;
+      const auto target = static_cast<double>(run->response_target.count());
+      observed.emplace_back(run, target / static_cast<double>(row.figure));
     } else if (run->fill_millicores > 0) {
-      sample.shares[run->image] +=
-          static_cast<double>(row.figure) / static_cast<double>(link.listing->capacity.millicores);
+      shares[run->image] += fill_share(link, row.figure);
     }
   }
-  if (serving == 0) return;
-  link.tail_ratio = highest;
-  link.tail_at = now;
-  sample.tail_ratio = sum / serving;
-  model_.observe(sample);
+  const double weight = weight_of_newest(now - link.tails_at);
+  for (const auto& [run, headroom] : observed) {
+    run->headroom =
+        run->headroom <= 0 ? headroom : run->headroom + weight * (headroom - run->headroom);
+    model_.observe(run->image, headroom, shares);
+  }
+  if (!observed.empty()) link.tails_at = now;
 }
 
 void job_owner::pace_runs(worker_link& link, time_point now) {
--- a/coltsfoot/jobs/pacing.cc
+++ b/coltsfoot/jobs/pacing.cc
@@ -1,7 +1,8 @@
 #include "coltsfoot/jobs/pacing.h"
 
 #include <algorithm>
-#include <cmath>
+#include <map>
+#include <string>
 
 namespace coltsfoot::jobs {
 namespace {
@@ -9,80 +10,99 @@
 // A change below this is not worth an order.
 constexpr std::uint32_t least_change_percent = 10;
 
-struct disturbance {
+struct filling_run {
   const task_key* key = nullptr;
   const placed_run* run = nullptr;
-  double full_pressure = 0;  // at full speed
+  double share = 0;  // at full speed
 };
 
-// Filling runs that work, the most disturbing first.
-std::vector<disturbance> disturbances(const worker_link& link, const interference_model& model) {
-  std::vector<disturbance> out;
-  const auto capacity =
-      static_cast<double>(std::max<std::int64_t>(link.listing->capacity.millicores, 1));
+std::vector<filling_run> filling_runs(const worker_link& link) {
+  std::vector<filling_run> out;
   for (const auto& [key, run] : link.runs) {
     if (run.fill_millicores == 0 || run.phase != start_phase::confirmed || run.stop_wanted) {
       continue;
     }
-    const double share = static_cast<double>(run.fill_millicores) / capacity;
-    out.push_back({.key = &key, .run = &run, .full_pressure = model.pressure_of(run.image, share)});
+    out.push_back({.key = &key, .run = &run, .share = fill_share(link, run.fill_millicores)});
   }
-  std::stable_sort(out.begin(), out.end(),
-                   [](const auto& a, const auto& b) { return a.full_pressure > b.full_pressure; });
   return out;
 }
 
-// Percent of its speed by which a run's pressure changes by `amount`.
-std::uint32_t percent_for(double amount, double full_pressure) {
+// The least headroom of the serving runs, by image.
+std::map<std::string, double> headrooms(const worker_link& link) {
+  std::map<std::string, double> out;
+  for (const auto& [key, run] : link.runs) {
+    if (!run.serves || run.headroom <= 0) continue;
+    const auto [at, fresh] = out.try_emplace(run.image, run.headroom);
+    if (!fresh) at->second = std::min(at->second, run.headroom);
+  }
+  return out;
+}
+
+std::uint32_t percent_of(double part, double whole) {
   constexpr double most = 100;
-  if (full_pressure <= 0) return static_cast<std::uint32_t>(most);
-  return static_cast<std::uint32_t>(std::clamp(amount / full_pressure * most, 0.0, most));
+  if (whole <= 0) return static_cast<std::uint32_t>(most);
+  return static_cast<std::uint32_t>(std::clamp(part / whole * most, 0.0, most));
 }
 
-std::vector<pace_change> slow(const worker_link& link, const interference_model& model,
-                              const pacing_options& options) {
+std::vector<pace_change> slow(const std::string& serving, double missing, const worker_link& link,
+                              const interference_model& model) {
+  auto order = filling_runs(link);
+  const auto full_loss = [&](const filling_run& entry) {
+    return model.loss(serving, entry.run->image, entry.share);
+  };
+  std::stable_sort(order.begin(), order.end(),
+                   [&](const auto& a, const auto& b) { return full_loss(a) > full_loss(b); });
   std::vector<pace_change> changes;
-  double excess = std::log(link.tail_ratio / options.slow_to);
-  for (const auto& entry : disturbances(link, model)) {
-    if (excess <= 0) break;
+  for (const auto& entry : order) {
+    if (missing <= 0) break;
     const auto pace = entry.run->pace;
     if (pace == 0) continue;
-    const auto cut =
-        std::min(pace, std::max(percent_for(excess, entry.full_pressure), least_change_percent));
+    const auto wanted = std::max(percent_of(missing, full_loss(entry)), least_change_percent);
+    const auto cut = std::min(pace, wanted);
     changes.push_back({.key = *entry.key, .percent = pace - cut});
-    excess -= entry.full_pressure * cut / 100;
+    missing -= full_loss(entry) * cut / 100;
   }
   return changes;
 }
 
-std::vector<pace_change> release(const worker_link& link, const interference_model& model,
-                                 const pacing_options& options) {
+std::vector<pace_change> release(std::map<std::string, double> room, const worker_link& link,
+                                 const interference_model& model) {
   std::vector<pace_change> changes;
-  constexpr double least_ratio = 0.05;
-  double room = std::log(options.release_to / std::max(link.tail_ratio, least_ratio));
-  const auto order = disturbances(link, model);
-  for (auto at = order.rbegin(); at != order.rend(); ++at) {
-    const auto pace = at->run->pace;
+  for (const auto& entry : filling_runs(link)) {
+    const auto pace = entry.run->pace;
     if (pace >= 100) continue;
-    const auto raise =
-        link.serving == 0 ? 100 - pace : std::min(100 - pace, percent_for(room, at->full_pressure));
-    if (raise < std::min(least_change_percent, 100 - pace)) break;
-    changes.push_back({.key = *at->key, .percent = pace + raise});
-    room -= at->full_pressure * raise / 100;
+    auto raise = 100 - pace;
+    for (const auto& [serving, left] : room) {
+      const auto full_loss = model.loss(serving, entry.run->image, entry.share);
+      raise = std::min(raise, left <= 0 ? 0U : percent_of(left, full_loss));
+    }
+    if (raise < std::min(least_change_percent, 100 - pace)) continue;
+    changes.push_back({.key = *entry.key, .percent = pace + raise});
+    for (auto& [serving, left] : room) {
+      left -= model.loss(serving, entry.run->image, entry.share) * raise / 100;
+    }
   }
   return changes;
 }
 
 }  // namespace
 
+double fill_share(const worker_link& link, std::int64_t millicores) {
+  const auto capacity = std::max<std::int64_t>(link.listing->capacity.millicores, 1);
+  return static_cast<double>(millicores) / static_cast<double>(capacity);
+}
+
 std::vector<pace_change> pacing_changes(const worker_link& link, const interference_model& model,
                                         const pacing_options& options, time_point now) {
   if (!link.listing || now - link.paced_at < options.settle) return {};
-  if (link.serving > 0 && link.tail_ratio > options.slow_above) return slow(link, model, options);
-  if (link.serving == 0 || link.tail_ratio < options.release_to) {
-    return release(link, model, options);
+  auto rooms = headrooms(link);
+  const auto least = std::min_element(
+      rooms.begin(), rooms.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (least != rooms.end() && least->second < options.slow_below) {
+    return slow(least->first, options.slow_to - least->second, link, model);
   }
-  return {};
+  for (auto& [serving, headroom] : rooms) headroom -= options.release_to;
+  return release(std::move(rooms), link, model);
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/pacing.h
+++ b/coltsfoot/jobs/pacing.h
@@ -2,8 +2,8 @@
 // tasks beside them stay below their target.
 //
 // Load it answers: serving tasks whose own load swings, beside filling tasks of images that disturb
-// much or little. The tasks that disturb most are slowed first; they are let go again step by step
-// once the tails are well below the target.
+// some of them much and others little. The tasks that disturb the one in need most are slowed
+// first; they are let go again as far as all serving tasks have headroom.
 //
 //   for (const auto& change : pacing_changes(link, model, {}, now)) send_pace(change);
 #pragma once
@@ -16,11 +16,12 @@
 
 namespace coltsfoot::jobs {
 
+// Headroom is a target over a tail latency: below 1, the target is missed.
 struct pacing_options {
-  double slow_above = 0.9;   // tail over target
-  double slow_to = 0.75;     // tail over target that slowing is to bring about
-  double release_to = 0.75;  // tail over target that letting go may bring about
-  duration settle{700};      // until a change shows in the reports
+  double slow_below = 1.12;
+  double slow_to = 1.35;
+  double release_to = 1.4;
+  duration settle{700};  // until a change shows in the reports
 };
 
 struct pace_change {
@@ -31,4 +32,7 @@
 std::vector<pace_change> pacing_changes(const worker_link& link, const interference_model& model,
                                         const pacing_options& options, time_point now);
 
+// Share of the worker's processors that a filling run uses at full speed.
+double fill_share(const worker_link& link, std::int64_t millicores);
+
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -1,21 +1,25 @@
 #include "coltsfoot/jobs/placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
+#include "coltsfoot/jobs/pacing.h"
+
 namespace coltsfoot::jobs {
 namespace {
 
-// Share of their processors that serving tasks leave to filling ones, in percent.
-constexpr int left_by_serving_percent = 50;
-
-// The highest tail over target that a filling task may be expected to cause.
-constexpr double most_expected_ratio = 0.75;
+// The least headroom that a filling task may be expected to leave to serving ones.
+constexpr double least_expected_headroom = 1.35;
 
 // A filling task shows in the reports of its worker after this time.
 constexpr duration shows_after{1'200};
 
+// Headroom that is assumed of a serving task that has not been reported yet.
+constexpr double assumed_headroom = 2;
+
+// How much idle share of a worker outweighs a headroom lost by the tasks that serve there.
+constexpr double idle_per_headroom = 0.5;
+
 resources room_needed(const step_spec& step) {
   resources needed = step.demand;
   if (step.fill) needed.millicores = 0;
@@ -35,48 +39,72 @@
   return found == request.siblings.end() || found->second < limit;
 }
 
-// Processors that filling tasks could use and do not.
-std::int64_t idle_millicores(const worker_link& link) {
-  return link.free().millicores + link.serving_millicores * left_by_serving_percent / 100 -
-         link.fill_millicores;
-}
-
-double share_of(std::int64_t millicores, const worker_link& link) {
-  const auto capacity = std::max<std::int64_t>(link.listing->capacity.millicores, 1);
-  return static_cast<double>(millicores) / static_cast<double>(capacity);
-}
-
-// Logarithm of tail over target once all filling tasks that were placed show in the reports.
-double expected_pressure(const worker_link& link, const interference_model& model, time_point now) {
-  double pressure = std::log(std::max(link.tail_ratio, 0.1));
+// Headroom that a serving task keeps once all filling tasks that were placed show in the reports.
+double expected_headroom(const worker_link& link, const placed_run& serving,
+                         const interference_model& model, time_point now) {
+  double headroom = serving.headroom > 0 ? serving.headroom : assumed_headroom;
   for (const auto& [key, run] : link.runs) {
     if (run.fill_millicores == 0) continue;
     const bool shows = run.phase == start_phase::confirmed && now - run.began > shows_after;
-    if (!shows) pressure += model.pressure_of(run.image, share_of(run.fill_millicores, link));
+    if (shows) continue;
+    headroom -= model.loss(serving.image, run.image, fill_share(link, run.fill_millicores));
   }
-  return pressure;
+  return headroom;
+}
+
+// Whether the serving tasks of a worker bear one more filling task.
+bool bears(const worker_link& link, const step_spec& step, const interference_model& model,
+           time_point now) {
+  const auto share = fill_share(link, step.demand.millicores);
+  return std::all_of(link.runs.begin(), link.runs.end(), [&](const auto& entry) {
+    const auto& run = entry.second;
+    if (!run.serves) return true;
+    const auto loss = model.loss(run.image, step.image, share);
+    return expected_headroom(link, run, model, now) - loss >= least_expected_headroom;
+  });
 }
 
 bool has_room(const step_spec& step, const worker_link& link, const interference_model& model,
               time_point now) {
   if (!room_needed(step).fits_in(link.free())) return false;
   if (!step.fill) return true;
-  if (idle_millicores(link) < step.demand.millicores) return false;
-  if (link.serving == 0) return true;
-  const auto added = model.pressure_of(step.image, share_of(step.demand.millicores, link));
-  return expected_pressure(link, model, now) + added <= std::log(most_expected_ratio);
+  if (link.idle_millicores() < step.demand.millicores) return false;
+  return bears(link, step, model, now);
+}
+
+// Headroom that all serving tasks of a worker lose together.
+double total_loss(const worker_link& link, const step_spec& step, const interference_model& model) {
+  const auto share = fill_share(link, step.demand.millicores);
+  double sum = 0;
+  for (const auto& [key, run] : link.runs) {
+    if (run.serves) sum += model.loss(run.image, step.image, share);
+  }
+  return sum;
+}
+
+bool serves_image(const worker_link& link, const std::string& image) {
+  return std::any_of(link.runs.begin(), link.runs.end(), [&](const auto& entry) {
+    return entry.second.serves && entry.second.image == image;
+  });
 }
 
 // Compared as a whole; the greatest is chosen.
-using suitability = std::tuple<bool, bool, std::int64_t>;
+using suitability = std::tuple<bool, bool, bool, double>;
 
-suitability suitability_of(const placement_request& request, const worker_link& link) {
+suitability suitability_of(const placement_request& request, const worker_link& link,
+                           const interference_model& model) {
   const auto& step = *request.step;
   const bool near_data = !step.data_label.empty() && link.listing->has_label(step.data_label);
   const bool near_siblings =
       !request.preferred_rack.empty() && link.listing->rack() == request.preferred_rack;
-  if (step.serves()) return {near_data, near_siblings, -link.free().millicores};
-  return {near_data, near_siblings, idle_millicores(link)};
+  const auto share = [&link](std::int64_t millicores) { return fill_share(link, millicores); };
+  if (step.serves()) {
+    return {near_data, near_siblings, serves_image(link, step.image),
+            -share(link.free().millicores)};
+  }
+  double value = share(link.idle_millicores());
+  if (step.fill) value -= idle_per_headroom * total_loss(link, step, model);
+  return {near_data, near_siblings, false, value};
 }
 
 }  // namespace
@@ -90,7 +118,7 @@
     if (!within_worker_limit(request, id) || !has_room(*request.step, link, model, now)) {
       continue;
     }
-    const auto value = suitability_of(request, link);
+    const auto value = suitability_of(request, link, model);
     if (best != nullptr && value <= best_value) continue;
     best = &link;
     best_value = value;
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -8,6 +8,9 @@
 // Without an answer for this long, a worker gets no new work.
 constexpr duration contact_limit{2'500};
 
+// Share of their processors that serving tasks are assumed to leave to filling ones, in percent.
+constexpr int left_by_serving_percent = 60;
+
 }  // namespace
 
 void worker_link::add(const task_key& key, placed_run run) {
@@ -37,6 +40,13 @@
   return listing ? listing->capacity - used : resources{};
 }
 
+std::int64_t worker_link::idle_millicores() const {
+  const auto assumed = free().millicores + serving_millicores * left_by_serving_percent / 100;
+  std::int64_t demanded = 0;
+  for (const auto& [key, run] : runs) demanded += run.fill_millicores * run.pace / 100;
+  return assumed - demanded;
+}
+
 bool worker_link::usable(time_point now) const {
   if (!listed || listing->draining || now < avoid_until) return false;
   return failed_looks == 0 && last_contact && now - *last_contact < contact_limit;
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -44,7 +44,7 @@
   bool serves = false;
   std::string image;
   duration response_target{0};  // of a serving task
-  double tail_ratio = 0;        // smoothed tail over target of a serving task
+  double headroom = 0;          // of a serving task: target over tail, smoothed; 0: unknown
   std::uint32_t pace = 100;     // percent of its speed that it was told to work at
   bool pace_unsure = false;     // the order for `pace` was not answered
   time_point began{};           // when its order was first sent
@@ -66,9 +66,7 @@
   std::int32_t serving = 0;
   std::int64_t serving_millicores = 0;
 
-  // Of the serving tasks: the highest smoothed tail over its target.
-  double tail_ratio = 0;
-  time_point tail_at{};
+  time_point tails_at{};  // of the newest report with tails of serving tasks
   time_point paced_at{};  // when the pace of a run was changed last
 
   // Looks.
@@ -86,6 +84,8 @@
   void add(const task_key& key, placed_run run);
   void remove(const task_key& key);
   resources free() const;
+  // Processors that filling tasks could use and do not.
+  std::int64_t idle_millicores() const;
 
   // Whether new work may be placed here.
   bool usable(time_point now) const;
