--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -261,9 +261,9 @@
     }
     if (j == nullptr || j->ended()) continue;
     // A start renews the lease too.
-    const bool due = link.failed_looks == 0 &&
-                     (run.phase == start_phase::to_send ||
-                      (run.phase == start_phase::sent && now >= run.next_try));
+    const bool due =
+        link.failed_looks == 0 && (run.phase == start_phase::to_send ||
+                                   (run.phase == start_phase::sent && now >= run.next_try));
     if (due) send_start(link, key, run, now);
   }
 }
--- /dev/null
+++ b/coltsfoot/jobs/job_record_test.cc
@@ -0,0 +1,114 @@
+#include "coltsfoot/jobs/job_record.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace coltsfoot::jobs {
+namespace {
+
+accepted_job sample_job() {
+  return {.id = job_id{"j"},
+          .queue = queue_id{"q"},
+          .service = service_id{"s"},
+          .max_attempts = 2,
+          .accepted_at = wall_time{duration{5}},
+          .spec = {.payload = "p", .steps = {{.count = 3}, {.count = 2, .depends_on = {0}}}}};
+}
+
+struct journal_copy {
+  job_table table;
+  owner_claim claim;
+  tl::expected<applied_record, record_error> apply(const keyed_record& record,
+                                                   bool take_progress = true) {
+    return apply_record(record, table, claim, {.take_progress = take_progress});
+  }
+};
+
+TEST(job_record_test, an_acceptance_adds_a_job_once) {
+  journal_copy copy;
+  ASSERT_TRUE(copy.apply(acceptance_record(sample_job())));
+  copy.table.find(job_id{"j"})->started = true;
+  ASSERT_TRUE(copy.apply(acceptance_record(sample_job())));
+  EXPECT_EQ(copy.table.size(), 1U);
+  EXPECT_TRUE(copy.table.find(job_id{"j"})->started) << "a repetition changes nothing";
+}
+
+TEST(job_record_test, a_cancellation_holds_whatever_the_order_of_the_records) {
+  journal_copy copy;
+  ASSERT_TRUE(copy.apply(cancellation_record(job_id{"j"})));
+  ASSERT_TRUE(copy.apply(acceptance_record(sample_job())));
+  EXPECT_EQ(state_of(*copy.table.find(job_id{"j"})), job_state::cancelled);
+}
+
+TEST(job_record_test, the_owner_keeps_its_own_progress) {
+  journal_copy copy;
+  ASSERT_TRUE(copy.apply(acceptance_record(sample_job())));
+  auto other = *copy.table.find(job_id{"j"});
+  other.outcome = job_outcome::completed;
+  ASSERT_TRUE(copy.apply(progress_record(other), false));
+  EXPECT_FALSE(copy.table.find(job_id{"j"})->ended());
+  ASSERT_TRUE(copy.apply(progress_record(other), true));
+  EXPECT_EQ(state_of(*copy.table.find(job_id{"j"})), job_state::completed);
+}
+
+TEST(job_record_test, an_older_claim_does_not_replace_a_newer_one) {
+  journal_copy copy;
+  ASSERT_TRUE(copy.apply(claim_record({.fence = 4, .node = "b"})));
+  ASSERT_TRUE(copy.apply(claim_record({.fence = 3, .node = "a"})));
+  EXPECT_EQ(copy.claim.node, "b");
+}
+
+TEST(job_record_test, removal_leaves_nothing) {
+  journal_copy copy;
+  ASSERT_TRUE(copy.apply(acceptance_record(sample_job())));
+  for (const auto& record : removal_records(job_id{"j"})) ASSERT_TRUE(copy.apply(record));
+  EXPECT_EQ(copy.table.size(), 0U);
+}
+
+RC_GTEST_PROP(job_record_test, progress_is_read_as_it_was_written, ()) {
+  journal_copy copy;
+  RC_ASSERT(copy.apply(acceptance_record(sample_job())).has_value());
+  auto changed = *copy.table.find(job_id{"j"});
+  changed.started = true;
+  for (auto& task : changed.tasks) {
+    task.phase = static_cast<task_phase>(*rc::gen::inRange(0, 4));
+    task.run = *rc::gen::inRange<run_number>(0, 1'000'000);
+    task.failures = *rc::gen::inRange<std::uint32_t>(0, 5);
+    if (task.phase == task_phase::assigned) {
+      task.life = {.worker = worker_id{"w" + std::to_string(*rc::gen::inRange(0, 3))},
+                   .incarnation = *rc::gen::arbitrary<std::uint64_t>()};
+    }
+    if (task.phase != task_phase::done) task.checkpoint = *rc::gen::arbitrary<std::string>();
+  }
+  changed.recount();
+  RC_ASSERT(copy.apply(progress_record(changed)).has_value());
+  const auto& read = *copy.table.find(job_id{"j"});
+  RC_ASSERT(read.open_tasks == changed.open_tasks);
+  for (std::size_t i = 0; i < read.tasks.size(); ++i) {
+    const auto& a = read.tasks[i];
+    const auto& b = changed.tasks[i];
+    const bool untouched = b.phase == task_phase::waiting && b.run == 0;
+    RC_ASSERT(a.phase == b.phase);
+    if (untouched) continue;
+    RC_ASSERT(a.run == b.run);
+    RC_ASSERT(a.failures == b.failures);
+    RC_ASSERT(a.life == b.life);
+    RC_ASSERT(a.checkpoint == b.checkpoint);
+  }
+}
+
+// Bytes from another writer change nothing and end nothing.
+RC_GTEST_PROP(job_record_test, malformed_records_change_nothing, (const std::string& value)) {
+  journal_copy copy;
+  RC_ASSERT(copy.apply(acceptance_record(sample_job())).has_value());
+  const auto before = progress_record(*copy.table.find(job_id{"j"})).value;
+  if (!copy.apply({.key = "progress/j", .value = value}) || value.empty()) {
+    RC_ASSERT(progress_record(*copy.table.find(job_id{"j"})).value == before);
+  }
+  RC_ASSERT(!copy.apply({.key = "acceptance/k", .value = "x" + value}).has_value());
+  RC_ASSERT(copy.table.find(job_id{"k"}) == nullptr);
+}
+
+}  // namespace
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/lease_clock_test.cc
@@ -0,0 +1,34 @@
+#include "coltsfoot/jobs/lease_clock.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoot::jobs {
+namespace {
+
+const time_point start{duration{50'000}};
+constexpr duration lease{5'000};
+
+TEST(lease_clock_test, grants_nothing_before_the_workers_clock_is_known) {
+  lease_clock clock{start};
+  EXPECT_FALSE(clock.extend(start, lease));
+  EXPECT_EQ(clock.lapses_at(), start);
+}
+
+TEST(lease_clock_test, lasts_as_long_as_a_slow_clock_takes) {
+  lease_clock clock{start};
+  clock.observe(700, start);
+  EXPECT_EQ(clock.extend(start + duration{1'000}, lease), 6'700);
+  // A clock that is two percent slow reaches 6700 after 6000 / 0.98 ms.
+  EXPECT_GE(clock.lapses_at(), start + duration{6'122});
+  EXPECT_LE(clock.lapses_at(), start + duration{6'300});
+}
+
+TEST(lease_clock_test, an_inherited_lease_counts) {
+  lease_clock clock{start + duration{60'000}};
+  clock.observe(700, start);
+  clock.extend(start, lease);
+  EXPECT_EQ(clock.lapses_at(), start + duration{60'000});
+}
+
+}  // namespace
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -67,8 +67,8 @@
   });
 }
 
-// A long-running task never gives back its room in time for a short one. It leaves some, but no more
-// than would let another task of its size wait.
+// A long-running task never gives back its room in time for a short one. It leaves some, but no
+// more than would let another task of its size wait.
 bool leaves_room_for_short(const step_spec& step, const worker_link& link) {
   const auto kept = link.listing->capacity.millicores * kept_for_short_percent / 100;
   const auto left = link.free().millicores - step.demand.millicores;
