--- /dev/null
+++ b/coltsfoot/config/fleet_settings_test.cc
@@ -0,0 +1,44 @@
+#include "coltsfoot/config/fleet_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoot {
+namespace {
+
+const std::string complete =
+    "node: n1\n"
+    "zone: z1\n"
+    "caller_address: 10.0.0.1:8080\n"
+    "readiness_address: 10.0.0.1:8081\n"
+    "peer_address: 10.0.0.1:7720\n"
+    "metrics_address: 10.0.0.1:9464\n"
+    "store_address: 10.0.0.9:8169\n";
+
+std::string error_of(const std::string& text) {
+  const auto settings = parse_fleet_settings(text, "f.yaml");
+  return settings ? "" : to_string(settings.error());
+}
+
+TEST(fleet_settings_test, reads_all_keys) {
+  const auto settings = parse_fleet_settings(complete + "longest_lease_ms: 6000\n", "f.yaml");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->node, "n1");
+  EXPECT_EQ(settings->store_address, "10.0.0.9:8169");
+  EXPECT_EQ(settings->longest_lease, duration{6'000});
+  EXPECT_EQ(settings->shutdown_grace, fleet_settings{}.shutdown_grace);
+}
+
+TEST(fleet_settings_test, errors_name_the_file_and_the_key) {
+  EXPECT_NE(error_of("node: n1\n").find("zone: is missing"), std::string::npos);
+  EXPECT_NE(error_of(complete + "colour: red\n").find("f.yaml:8: colour"), std::string::npos)
+      << error_of(complete + "colour: red\n");
+  EXPECT_NE(error_of(complete + "longest_lease_ms: soon\n").find("f.yaml:8: longest_lease_ms"),
+            std::string::npos);
+  EXPECT_NE(error_of(complete + "longest_lease_ms: 5\n").find("out of range"), std::string::npos);
+  auto wrong = complete;
+  wrong.replace(wrong.find("10.0.0.9:8169"), 13, "10.0.0.9");
+  EXPECT_NE(error_of(wrong).find("store_address: is no address"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace coltsfoot
--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -1,6 +1,7 @@
 #include "coltsfoot/daemon/fleet_metrics.h"
 
 #include "coltsfoot/observe/exposition.h"
+#include "coltsfoot/observe/logger.h"
 
 namespace coltsfoot {
 namespace {
@@ -35,6 +36,7 @@
   page.add_counter("appends_failed_total", stats.appends_failed);
   page.add_counter("reads_failed_total", stats.reads_failed);
   page.add_counter("malformed_records_total", stats.malformed_records);
+  page.add_counter("log_lines_dropped_total", dropped_log_lines());
   page.add_counter("claims_total", stats.claims);
   page.add_counter("takeovers_total", stats.takeovers);
   page.add_counter("step_downs_total", stats.step_downs);
--- a/coltsfoot/observe/latency_histogram_test.cc
+++ b/coltsfoot/observe/latency_histogram_test.cc
@@ -51,13 +51,13 @@
 
 // Guards against a value that forges a line or a pair, and against lines below the level.
 TEST(logger_test, lines_hold_the_pairs_and_cannot_be_forged) {
-  testing::internal::CaptureStderr();
+  testing::internal::CaptureStdout();
   start_logging({.node = "n 1", .level = severity::debug});
   log_line(severity::debug, "event=low");
   log_line(severity::warning, "event=a\nb text=" + log_value("x=1 \"y\"") + " %v");
   start_logging({.node = "n1", .level = severity::error});
   log_line(severity::info, "event=dropped");
-  const std::string text = testing::internal::GetCapturedStderr();
+  const std::string text = testing::internal::GetCapturedStdout();
   EXPECT_NE(text.find(" level=debug node=\"n 1\" event=low\n"), std::string::npos) << text;
   EXPECT_NE(text.find(R"( level=warning node="n 1" event=a\nb text="x=1 \"y\"" %v)"),
             std::string::npos)
--- a/coltsfoot/observe/logger.cc
+++ b/coltsfoot/observe/logger.cc
@@ -3,23 +3,30 @@
 #include <easylogging++.h>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <chrono>
 
+#include "coltsfoot/observe/line_writer.h"
+
 namespace coltsfoot {
 namespace {
 
-class stderr_callback : public el::LogDispatchCallback {
+line_writer& output() {
+  static line_writer writer{STDOUT_FILENO};
+  return writer;
+}
+
+class output_callback : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) override {
-    const std::string line = data->logMessage()->message() + '\n';
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    output().write(data->logMessage()->message());
   }
 };
 
 constexpr const char* logger_name = "coltsfoot";
-constexpr const char* callback_name = "coltsfoot_stderr";
+constexpr const char* callback_name = "coltsfoot_output";
 
 std::atomic<severity> lowest{severity::info};
 std::string node_name;  // written before other threads log
@@ -47,7 +54,11 @@
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   el::Loggers::getLogger(logger_name);
   el::Loggers::reconfigureLogger(logger_name, configuration);
-  el::Helpers::installLogDispatchCallback<stderr_callback>(callback_name);
+  el::Helpers::installLogDispatchCallback<output_callback>(callback_name);
+}
+
+std::uint64_t dropped_log_lines() {
+  return output().dropped();
 }
 
 void log_line(severity level, std::string_view text) {
