--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -12,6 +12,7 @@
   page.add_counter("task_ends_total", stats.ends_done, exposition_label("end", "done"));
   page.add_counter("task_ends_total", stats.ends_failed, exposition_label("end", "failed"));
   page.add_counter("task_ends_total", stats.ends_other, exposition_label("end", "other"));
+  page.add_counter("task_paces_total", stats.paces);
   page.add_counter("runs_lost_total", stats.runs_lost);
   page.add_counter("starts_rejected_total", stats.rejected);
   page.add_counter("orders_unanswered_total", stats.unanswered);
