--- a/coltsfoot/jobs/interference_model.cc
+++ b/coltsfoot/jobs/interference_model.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr double most_error = 2;       // bounds the effect of one odd report
-constexpr double least_energy = 0.02;  // keeps tiny shares from moving a weight far
+constexpr double least_energy = 0.01;  // keeps tiny shares from moving a weight far
 
 }  // namespace
 
@@ -23,16 +23,21 @@
   base += options_.base_rate * error;
   for (const auto& [image, share] : fill) {
     auto& weight =
-        weights_.try_emplace(image_pair{serving, image}, options_.first_weight).first->second;
-    weight -= options_.learning_rate * error * share / energy;
-    weight = std::clamp(weight, 0.0, options_.most_weight);
+        weights_
+            .try_emplace(image_pair{serving, image}, pair_weight{.value = options_.first_weight})
+            .first->second;
+    weight.reports += 1;
+    const double rate =
+        options_.learning_rate * std::max(1.0, options_.settled_reports / weight.reports / 3);
+    weight.value -= std::min(rate, 1.0) * error * share / energy;
+    weight.value = std::clamp(weight.value, 0.0, options_.most_weight);
   }
 }
 
 double interference_model::loss(const std::string& serving, const std::string& fill,
                                 double share) const {
   const auto found = weights_.find({serving, fill});
-  return (found == weights_.end() ? options_.first_weight : found->second) * share;
+  return (found == weights_.end() ? options_.first_weight : found->second.value) * share;
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/interference_model.h
+++ b/coltsfoot/jobs/interference_model.h
@@ -18,10 +18,11 @@
 namespace coltsfoot::jobs {
 
 struct interference_options {
-  double first_weight = 2;  // of a pair that was never seen: neither harmless nor forbidden
-  double most_weight = 15;
-  double learning_rate = 0.1;
-  double first_base = 2.5;  // headroom without filling tasks
+  double first_weight = 3;  // of a pair that was never seen: neither harmless nor forbidden
+  double most_weight = 30;
+  double learning_rate = 0.1;   // once a pair is known
+  double settled_reports = 30;  // a pair is learned faster until it was seen this often
+  double first_base = 2.5;      // headroom without filling tasks
   double base_rate = 0.02;
 };
 
@@ -40,9 +41,13 @@
 
  private:
   using image_pair = std::pair<std::string, std::string>;
+  struct pair_weight {
+    double value = 0;
+    double reports = 0;
+  };
 
   interference_options options_;
-  std::map<image_pair, double> weights_;
+  std::map<image_pair, pair_weight> weights_;
   std::map<std::string, double> bases_;
 };
 
