--- a/coltsfoot/config/fleet_settings.cc
+++ b/coltsfoot/config/fleet_settings.cc
@@ -9,7 +9,7 @@
 namespace coltsfoot {
 namespace {
 
-constexpr std::size_t most_file_bytes = 256 * 1024;
+constexpr std::size_t most_file_bytes = std::size_t{256} * 1024;
 constexpr duration shortest_duration{100};
 constexpr duration longest_duration{600'000};
 
--- a/coltsfoot/jobs/job.h
+++ b/coltsfoot/jobs/job.h
@@ -98,7 +98,7 @@
 struct fleet_config {
   std::uint64_t version = 0;
   std::vector<queue_config> queues;
-  std::size_t max_body_bytes = 256 * 1024;
+  std::size_t max_body_bytes = std::size_t{256} * 1024;
 
   // Returns the queue with the longest prefix of `path` on `host`, or null.
   const queue_config* match(std::string_view host, std::string_view path) const;
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -10,6 +10,9 @@
 namespace coltsfoot::jobs {
 namespace {
 
+// A filling task goes on at least this slowly, in percent of its speed.
+constexpr std::uint32_t least_pace = 5;
+
 placed_run run_of_step(const step_spec& step, const task_progress& task, time_point now) {
   return {.run = task.run,
           .progressed_at = now,
@@ -109,6 +112,7 @@
     waiting_.insert(j.accepted.id);
   } else {
     waiting_.erase(j.accepted.id);
+    runless_since_.erase(j.accepted.id);
   }
 }
 
@@ -220,6 +224,7 @@
   wall_ = wall;
   if (waiting_.empty()) return;
   failed_demands_.clear();
+  room_is_free_ = much_room_is_free();
   std::vector<std::pair<job_urgency, job*>> order;
   order.reserve(waiting_.size());
   for (const auto& id : waiting_) {
@@ -230,10 +235,39 @@
   });
   for (const auto& [urgency, j] : order) {
     place_job(*j, now);
+    note_starved(*j, now);
     refresh_waiting(*j);
   }
 }
 
+void job_owner::note_starved(const job& j, time_point now) {
+  const bool runs = std::any_of(j.tasks.begin(), j.tasks.end(), [](const auto& task) {
+    return task.phase == task_phase::assigned;
+  });
+  if (runs) {
+    runless_since_.erase(j.accepted.id);
+  } else {
+    runless_since_.try_emplace(j.accepted.id, now);
+  }
+}
+
+bool job_owner::is_starved(const job& j, time_point now) const {
+  const auto since = runless_since_.find(j.accepted.id);
+  return room_is_free_ && since != runless_since_.end() &&
+         now - since->second >= options_.starved_after;
+}
+
+// Whether less than half of the listed workers' processors are in use.
+bool job_owner::much_room_is_free() const {
+  std::int64_t capacity = 0;
+  std::int64_t used = 0;
+  for (const auto& [id, link] : links_) {
+    if (link.listed) capacity += link.listing->capacity.millicores;
+    used += link.used.millicores;
+  }
+  return used < capacity / 2;
+}
+
 void job_owner::place_job(job& j, time_point now) {
   const auto& spec = j.accepted.spec;
   for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
@@ -254,6 +288,7 @@
   const auto& step = *request.step;
   const auto& image = step.fill ? step.image : std::string{};
   const bool hopeless =
+      !request.starved &&
       std::any_of(failed_demands_.begin(), failed_demands_.end(), [&](const auto& failed) {
         return failed.service == request.service && failed.fill == step.fill &&
                failed.image == image && (failed.restart || !request.restart) &&
@@ -261,7 +296,8 @@
       });
   if (hopeless) return nullptr;
   auto* chosen = choose_worker(request, links_, model_, now);
-  const bool any_worker = step.required_label.empty() && step.max_per_worker == 0;
+  const bool any_worker =
+      step.required_label.empty() && step.max_per_worker == 0 && !request.starved;
   if (chosen == nullptr && any_worker) {
     failed_demands_.push_back(
         {.service = request.service, .fill = step.fill, .image = image, .demand = step.demand});
@@ -290,12 +326,16 @@
 void job_owner::place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
   const auto first = j.index_of({.occurrence = occurrence, .step = step});
   const auto last = first + j.accepted.spec.steps[step].count;
+  const auto& spec = j.accepted.spec.steps[step];
   auto request = request_for(j, occurrence, step);
+  bool placed_starved = false;  // one run is enough: the others wait for room
   for (auto i = first; i < last; ++i) {
     if (j.tasks[i].phase != task_phase::waiting) continue;
     request.restart = j.tasks[i].run > 0;
+    request.starved = spec.fill && is_starved(j, now) && !placed_starved;
     auto* link = find_worker(request, now);
     if (link == nullptr) continue;
+    placed_starved = true;
     assign(j, i, *link, j.tasks[i].run + 1, now);
     ++request.siblings[link->life.worker];
     if (request.step->tightly_coupled) request.preferred_rack = link->listing->rack();
@@ -342,6 +382,11 @@
   j.started = true;
   const task_key key{.job = j.accepted.id, .index = index};
   auto placed = run_of_step(step, task, now);
+  if (step.fill) {
+    // Set to work at once at the pace that is borne.
+    placed.pace = std::max(bearable_percent(step, link, model_, now), least_pace);
+    placed.pace_unsure = placed.pace < 100;
+  }
   link.add(key, std::move(placed));
   log(severity::info,
       fmt::format("event=run_placed job={} task={}.{}.{} run={} worker={} idle_millicores={}",
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -46,6 +46,7 @@
   duration avoid_after_failures{2'000};
   std::uint32_t most_failures_in_a_row = 3;
   duration keep_ended{125'000};    // how long an ended job can be asked for
+  duration starved_after{1'000};   // without a run, while a task of the job could be started
   duration drain_patience{1'200};  // runs that should end by then stay on a worker that drains
 };
 
@@ -139,6 +140,9 @@
   void drop_expired();
 
   // Placing.
+  void note_starved(const job& j, time_point now);
+  bool is_starved(const job& j, time_point now) const;
+  bool much_room_is_free() const;
   void place_job(job& j, time_point now);
   worker_link* find_worker(const placement_request& request, time_point now);
   void place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
@@ -163,6 +167,7 @@
   void send_due_orders(worker_link& link, time_point now);
   void send_start(worker_link& link, const task_key& key, placed_run& run, time_point now);
   void send_stop(worker_link& link, const run_ref& run);
+  void send_pace(worker_link& link, const task_key& key, placed_run& run);
   void send_look(worker_link& link, time_point now);
   void learn_interference(worker_link& link, const look_report& report, time_point now);
   void pace_runs(worker_link& link, time_point now);
@@ -181,10 +186,12 @@
   worker_links links_;
   interference_model model_{{}};
   estimate_correction correction_;
-  std::set<job_id> waiting_;                   // open jobs with a task that could be placed
-  std::vector<failed_demand> failed_demands_;  // of the present placing pass
-  std::set<job_id> cancelling_;                // cancelled jobs with runs that have not ended
-  std::set<job_id> scheduled_;                 // jobs with occurrences that are not due yet
+  std::set<job_id> waiting_;                    // open jobs with a task that could be placed
+  std::map<job_id, time_point> runless_since_;  // waiting jobs without a run
+  bool room_is_free_ = false;                   // of the present placing pass
+  std::vector<failed_demand> failed_demands_;   // of the present placing pass
+  std::set<job_id> cancelling_;                 // cancelled jobs with runs that have not ended
+  std::set<job_id> scheduled_;                  // jobs with occurrences that are not due yet
 
   std::set<job_id> dirty_;  // progress to be recorded
   std::vector<keyed_record> removals_;
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -298,6 +298,7 @@
       run->phase = start_phase::confirmed;
       run->confirmed_at = now;
       run->progressed_at = now;
+      if (run->pace_unsure) send_pace(*link, key, *run);
       return;
     case order_verdict::fenced:
       fenced_ = true;
@@ -515,20 +516,23 @@
   }
   for (const auto& change : changes) {
     auto& run = link.runs.at(change.key);
-    const auto* j = table_.find(change.key.job);
-    if (j == nullptr) continue;
-    ++stats_.paces;
     run.pace = change.percent;
-    run.pace_unsure = false;
-    orders_.push_back(
-        {.life = link.life,
-         .address = link.listing->address,
-         .order = pace_order{.run = {.task = j->ref_of(change.key.index), .run = run.run},
-                             .percent = change.percent},
-         .timeout = options_.order_timeout});
+    send_pace(link, change.key, run);
   }
 }
 
+void job_owner::send_pace(worker_link& link, const task_key& key, placed_run& run) {
+  const auto* j = table_.find(key.job);
+  if (j == nullptr) return;
+  ++stats_.paces;
+  run.pace_unsure = false;
+  orders_.push_back({.life = link.life,
+                     .address = link.listing->address,
+                     .order = pace_order{.run = {.task = j->ref_of(key.index), .run = run.run},
+                                         .percent = run.pace},
+                     .timeout = options_.order_timeout});
+}
+
 void job_owner::on_pace_answer(const worker_life& life, const run_ref& ref,
                                const order_answer& answer) {
   if (answer.verdict == order_verdict::fenced) fenced_ = true;
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -20,6 +20,8 @@
 // Headroom that is assumed of a serving task that has not been reported yet.
 constexpr double assumed_headroom = 2;
 
+constexpr std::uint32_t full_speed = 100;  // percent
+
 // How much idle share of a worker outweighs a headroom lost by the tasks that serve there.
 constexpr double idle_per_headroom = 0.5;
 
@@ -55,18 +57,6 @@
   return headroom;
 }
 
-// Whether the serving tasks of a worker bear one more filling task.
-bool bears(const worker_link& link, const step_spec& step, const interference_model& model,
-           time_point now) {
-  const auto share = fill_share(link, step.demand.millicores);
-  return std::all_of(link.runs.begin(), link.runs.end(), [&](const auto& entry) {
-    const auto& run = entry.second;
-    if (!run.serves) return true;
-    const auto loss = model.loss(run.image, step.image, share);
-    return expected_headroom(link, run, model, now) - loss >= least_expected_headroom;
-  });
-}
-
 // A long-running task never gives back its room in time for a short one. It leaves some, but no
 // more than would let another task of its size wait.
 bool leaves_room_for_short(const step_spec& step, const worker_link& link) {
@@ -82,7 +72,7 @@
   if (step.long_running) return request.restart || leaves_room_for_short(step, link);
   if (!step.fill) return true;
   if (link.idle_millicores() < step.demand.millicores) return false;
-  return bears(link, step, model, now);
+  return request.starved || bearable_percent(step, link, model, now) >= full_speed;
 }
 
 // Headroom that all serving tasks of a worker lose together.
@@ -105,7 +95,7 @@
 using suitability = std::tuple<bool, bool, bool, double>;
 
 suitability suitability_of(const placement_request& request, const worker_link& link,
-                           const interference_model& model) {
+                           const interference_model& model, time_point now) {
   const auto& step = *request.step;
   const bool near_data = !step.data_label.empty() && link.listing->has_label(step.data_label);
   const bool near_siblings =
@@ -117,11 +107,25 @@
   }
   double value = share(link.idle_millicores());
   if (step.fill) value -= idle_per_headroom * total_loss(link, step, model);
+  if (request.starved) value = bearable_percent(step, link, model, now);
   return {near_data, near_siblings, false, value};
 }
 
 }  // namespace
 
+std::uint32_t bearable_percent(const step_spec& step, const worker_link& link,
+                               const interference_model& model, time_point now) {
+  const auto share = fill_share(link, step.demand.millicores);
+  double part = 1;
+  for (const auto& [key, run] : link.runs) {
+    if (!run.serves) continue;
+    const auto room = expected_headroom(link, run, model, now) - least_expected_headroom;
+    const auto loss = model.loss(run.image, step.image, share);
+    if (room < loss) part = std::min(part, std::max(room, 0.0) / loss);
+  }
+  return static_cast<std::uint32_t>(part * full_speed);
+}
+
 worker_link* choose_worker(const placement_request& request, worker_links& links,
                            const interference_model& model, time_point now) {
   worker_link* best = nullptr;
@@ -131,7 +135,7 @@
     if (!within_worker_limit(request, id) || !has_room(request, link, model, now)) {
       continue;
     }
-    const auto value = suitability_of(request, link, model);
+    const auto value = suitability_of(request, link, model, now);
     if (best != nullptr && value <= best_value) continue;
     best = &link;
     best_value = value;
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -26,11 +26,19 @@
   // Tasks of the step on each worker, for the limit per worker.
   std::map<worker_id, std::uint32_t> siblings;
   std::string preferred_rack;  // where tightly coupled siblings run; empty: none do
-  bool restart = false;        // the task has run before: it may use room that is kept for others
+  // A filling task of a job that has nothing running while much room is free: it goes where it
+  // disturbs least, however slow it must work there.
+  bool starved = false;
+  bool restart = false;  // the task has run before: it may use room that is kept for others
 };
 
 // Returns the worker with room that suits best, or null.
 worker_link* choose_worker(const placement_request& request, worker_links& links,
                            const interference_model& model, time_point now);
 
+// Share of its speed, in percent, at which the serving tasks of a worker bear one more filling
+// task.
+std::uint32_t bearable_percent(const step_spec& step, const worker_link& link,
+                               const interference_model& model, time_point now);
+
 }  // namespace coltsfoot::jobs
