--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -269,7 +269,9 @@
 
   const auto caller_listen = to_listen_address(settings.caller_address);
   internal::rest_listener callers{
-      {.ip = caller_listen.ip, .port = caller_listen.port, .max_body_bytes = 512 * 1024},
+      {.ip = caller_listen.ip,
+       .port = caller_listen.port,
+       .max_body_bytes = std::size_t{512} * 1024},
       [&](const internal::rest_request& request, const internal::rest_responder& respond) {
         const auto call = calls.add(respond);
         auto decoded = platform::decode_caller_request(request, call);
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -228,7 +228,7 @@
   const election_inputs in{.node = options_.node,
                            .life = options_.life,
                            .caught_up = jobs_.caught_up() && config_.has_value(),
-                           .claiming = claim_call_ != 0,
+                           .claiming = claim_call_ != 0 || now_ < claim_seen_by_,
                            .leaving = shutdown_at_.has_value(),
                            .claim = claim_,
                            .owner_seen = owner_seen_,
@@ -247,29 +247,31 @@
   push(append_to_jobs{
       .call = claim_call_,
       .records = {claim_record(*pending_claim_)},
-      .only_at = jobs_.position(),
       .sequence = append_sequence{.fence = pending_claim_->fence, .number = claim_sequence_},
       .timeout = options_.append_timeout});
 }
 
+// The store takes one claim of a fence. A claim that was recorded counts once the journal has been
+// read up to it: all progress of the former owner comes before it.
 void job_node::on_claim_ended(append_verdict verdict) {
   claim_call_ = 0;
-  if (owner_) return;  // the journal has shown the claim already
+  if (owner_) return;
+  jobs_.hurry();
   if (verdict == append_verdict::recorded) {
-    claim_ = *pending_claim_;
-    return become_owner(claim_);
+    claim_seen_by_ = now_ + options_.append_timeout;
+    return;
   }
   log(severity::info, fmt::format("event=claim_not_recorded fence={} verdict={}",
                                   pending_claim_->fence, name_of(verdict)));
   // Waits again: the winner, or a claim of ours that was recorded after all, will be read.
   owner_seen_ = now_ - options_.election.silence;
   next_claim_ = now_ + options_.claim_retry;
-  jobs_.hurry();
 }
 
 void job_node::become_owner(const owner_claim& claim) {
   ++stats_.takeovers;
   pending_claim_.reset();
+  claim_seen_by_ = {};
   owner_sequence_ = claim_sequence_ + 1;
   owner_batch_open_ = false;
   owner_batch_.clear();
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -94,7 +94,7 @@
     job_id job;
   };
 
-  void on(caller_request request);
+  void on(const caller_request& request);
   void on(const append_ended& event);
   void on(topic_read event);
   void on(const start_answered& event);
@@ -107,7 +107,7 @@
   void on(const time_passed& event);
 
   // Callers.
-  void submit(const caller_request& request, const queue_config& queue, job_id id);
+  void submit(const caller_request& request, const queue_config& queue, const job_id& id);
   void cancel(const caller_request& request, const job_id& id);
   void query(const caller_request& request, const job_id& id);
   void answer_state(call_id call, const job_id& id);
@@ -169,6 +169,7 @@
   call_id claim_call_ = 0;
   std::uint64_t claim_sequence_ = 0;  // number of the claim under way
   time_point next_claim_{};
+  time_point claim_seen_by_{};  // until then, a recorded claim is expected in the journal
 
   std::optional<job_owner> owner_;
   std::uint64_t owner_sequence_ = 0;  // number of the next append of the owner
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -17,9 +17,9 @@
 // Time kept back from a caller's deadline for the answer's way.
 constexpr duration answer_margin{100};
 
-accepted_job accepted_from(const caller_request& request, const queue_config& queue, job_id id,
-                           wall_time wall) {
-  return {.id = std::move(id),
+accepted_job accepted_from(const caller_request& request, const queue_config& queue,
+                           const job_id& id, wall_time wall) {
+  return {.id = id,
           .queue = queue.id,
           .service = queue.service,
           .priority = queue.priority,
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-void job_node::on(caller_request request) {
+void job_node::on(const caller_request& request) {
   open_calls_.insert(request.call);
   if (!config_) {
     return answer(request.call, {.verdict = caller_verdict::unavailable,
@@ -64,7 +64,7 @@
   }
 }
 
-void job_node::submit(const caller_request& request, const queue_config& queue, job_id id) {
+void job_node::submit(const caller_request& request, const queue_config& queue, const job_id& id) {
   if (!request.spec) {
     return answer(request.call,
                   {.verdict = caller_verdict::malformed, .detail = request.spec.error()});
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -111,6 +111,7 @@
 // All that ran in this life of the worker is gone.
 void job_owner::end_life(worker_link& link, std::string_view reason, time_point now) {
   std::vector<task_key> keys;
+  keys.reserve(link.runs.size());
   for (const auto& [key, run] : link.runs) keys.push_back(key);
   log(severity::info,
       fmt::format("event=worker_life_ended worker={} incarnation={} reason={} runs={}",
--- a/coltsfoot/jobs/job_table.cc
+++ b/coltsfoot/jobs/job_table.cc
@@ -74,7 +74,7 @@
   if (!fresh) return false;
   auto& added = at->second;
   added.accepted = std::move(accepted);
-  added.tasks.resize(added.tasks_per_occurrence() * added.accepted.spec.occurrences());
+  added.tasks.resize(std::size_t{added.tasks_per_occurrence()} * added.accepted.spec.occurrences());
   added.recount();
   added.cancel_requested = early_cancels_.erase(id) > 0;
   return true;
--- a/coltsfoot/jobs/owner_election.h
+++ b/coltsfoot/jobs/owner_election.h
@@ -1,5 +1,6 @@
-// Decides when a node claims the ownership of the fleet's jobs. The claim itself is a conditional
-// append to the journal, so that of several claimants one wins; this only keeps claims rare.
+// Decides when a node claims the ownership of the fleet's jobs. The claim itself is an append of
+// which the store takes one for each fence, so that of several claimants one wins; this only keeps
+// claims rare.
 //
 //   if (should_claim(inputs, options, now)) append_claim(next_fence);
 #pragma once
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -81,6 +81,24 @@
   EXPECT_TRUE(fleet.broken().empty());
 }
 
+// Callers' records move the journal's end all the time.
+TEST(job_fleet_test, an_owner_is_replaced_in_time_while_many_jobs_come) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    virtual_fleet fleet{{.nodes = 4, .seed = seed}};
+    settle(fleet);
+    const int first = fleet.owner();
+    fleet.kill_node(first);
+    const auto killed_at = fleet.now();
+    for (int i = 0; i < 1'500 && fleet.owner() < 0; ++i) {
+      const int node = (first + 1 + i % 3) % 4;
+      fleet.submit(node, "j" + std::to_string(i), two_steps(1));
+      fleet.run_for(duration{2});
+    }
+    EXPECT_GE(fleet.owner(), 0) << "seed " << seed;
+    EXPECT_LE(fleet.now() - killed_at, duration{2'200}) << "seed " << seed;
+  }
+}
+
 TEST(job_fleet_test, a_frozen_owner_gives_no_orders_when_it_wakes) {
   virtual_fleet fleet{{}};
   settle(fleet);
