--- a/coltsfoot/config/operators_page_test.cc
+++ b/coltsfoot/config/operators_page_test.cc
@@ -27,17 +27,23 @@
   return text_of(source_dir / "docs" / "operators.md");
 }
 
+// The pages of both daemons.
+std::string pages() {
+  return page() + text_of(source_dir / "docs" / "OPERATIONS.md");
+}
+
 // Returns the first group of each match of `pattern` in the sources that are not tests.
 std::set<std::string> names_in_sources(const std::string& pattern) {
   std::set<std::string> names;
   const std::regex expression{pattern};
-  for (const auto& entry :
-       std::filesystem::recursive_directory_iterator{source_dir / "coltsfoot"}) {
-    const auto file = entry.path().filename().string();
-    if (!file.ends_with(".cc") || file.ends_with("_test.cc")) continue;
-    const std::string text = text_of(entry.path());
-    for (std::sregex_iterator at{text.begin(), text.end(), expression}, end; at != end; ++at) {
-      names.insert((*at)[1].str());
+  for (const auto* folder : {"coltsfoot", "platform"}) {
+    for (const auto& entry : std::filesystem::recursive_directory_iterator{source_dir / folder}) {
+      const auto file = entry.path().filename().string();
+      if (!file.ends_with(".cc") || file.ends_with("_test.cc")) continue;
+      const std::string text = text_of(entry.path());
+      for (std::sregex_iterator at{text.begin(), text.end(), expression}, end; at != end; ++at) {
+        names.insert((*at)[1].str());
+      }
     }
   }
   return names;
@@ -59,7 +65,7 @@
 TEST(operators_page_test, names_each_counter) {
   const auto names = names_in_sources(R"re("([a-z_]+_total)")re");
   EXPECT_GT(names.size(), 40U);
-  const std::string text = page();
+  const std::string text = pages();
   for (const std::string& name : names) {
     EXPECT_NE(text.find("`" + name + "`"), std::string::npos) << name;
   }
@@ -83,7 +89,7 @@
 TEST(operators_page_test, names_each_log_event) {
   const auto names = names_in_sources("event=([a-z_]+)[ \"]");
   EXPECT_GT(names.size(), 30U);
-  const std::string text = page();
+  const std::string text = pages();
   for (const std::string& name : names) {
     EXPECT_NE(text.find("`" + name + "`"), std::string::npos) << name;
   }
--- a/coltsfoot/daemon/daemon.cc
+++ b/coltsfoot/daemon/daemon.cc
@@ -5,13 +5,13 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
-#include <mutex>
 #include <random>
 #include <thread>
 
 #include "coltsfoot/base/hash.h"
 #include "coltsfoot/daemon/command_executor.h"
 #include "coltsfoot/daemon/mailbox.h"
+#include "coltsfoot/daemon/shared_text.h"
 #include "coltsfoot/daemon/transport_metrics.h"
 #include "coltsfoot/observe/exposition.h"
 #include "coltsfoot/observe/logger.h"
@@ -74,23 +74,6 @@
   return {.ip = split.ip, .port = split.port};
 }
 
-// Text of /metrics, made by the control thread and read by the HTTP server's.
-class metrics_text {
- public:
-  void set(std::string text) {
-    const std::lock_guard lock{mutex_};
-    text_ = std::move(text);
-  }
-  std::string get() const {
-    const std::lock_guard lock{mutex_};
-    return text_;
-  }
-
- private:
-  mutable std::mutex mutex_;
-  std::string text_;
-};
-
 std::string metrics_page(const node_core& core, const transport_stats& transport) {
   exposition page;
   for (const auto& [name, value] : core.counters()) page.add_counter(name, value);
@@ -116,7 +99,7 @@
 // The thread of the control state: handles events one by one and ticks in between.
 template <typename Executor, typename Transport>
 void run_control_thread(node_core& core, mailbox& events, Executor& executor,
-                        const Transport& transport, metrics_text& metrics) {
+                        const Transport& transport, shared_text& metrics) {
   auto next_tick = std::chrono::steady_clock::now();
   auto next_metrics = next_tick;
   while (!executor.stopped()) {
@@ -215,7 +198,7 @@
   const log_sink sink = [](severity level, const std::string& text) { log_line(level, text); };
 
   mailbox events;
-  metrics_text metrics;
+  shared_text metrics;
   node_core core{
       core_options(settings, std::move(*charts), random_incarnation(), wall_clock_offset()),
       monotonic_now()};
--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -12,6 +12,7 @@
 
 #include "coltsfoot/daemon/fleet_metrics.h"
 #include "coltsfoot/daemon/mailbox.h"
+#include "coltsfoot/daemon/shared_text.h"
 #include "coltsfoot/jobs/job_node.h"
 #include "coltsfoot/observe/exposition.h"
 #include "coltsfoot/observe/logger.h"
@@ -78,23 +79,6 @@
   std::unordered_map<call_id, internal::rest_responder> responders_;
 };
 
-// A text that one thread writes and another reads.
-class shared_text {
- public:
-  void set(std::string text) {
-    const std::lock_guard lock{mutex_};
-    text_ = std::move(text);
-  }
-  std::string get() const {
-    const std::lock_guard lock{mutex_};
-    return text_;
-  }
-
- private:
-  mutable std::mutex mutex_;
-  std::string text_;
-};
-
 // Carries out the commands of the node.
 class fleet_executor {
  public:
@@ -119,8 +103,8 @@
     auto respond = calls_.take(c.call);
     if (!respond) return;
     auto response = platform::encode_caller_answer(c.answer);
-    // A node that is leaving has its callers connect elsewhere.
-    response.close = leaving_;
+    // Callers of a node that is not ready connect elsewhere.
+    response.close = !ready_;
     respond(std::move(response));
   }
   void run(const jobs::append_to_jobs& c) {
@@ -143,11 +127,7 @@
   }
   void run(const jobs::answer_peer& c) { peer_requests_.reply(c.call, c.reply); }
   void run(const jobs::refuse_peer& c) { peer_requests_.refuse(c.call); }
-  void run(const jobs::show_ready& c) {
-    ready_ = c.ready;
-    leaving_ = leaving_ || !c.ready;
-    if (c.ready) leaving_ = false;
-  }
+  void run(const jobs::show_ready& c) { ready_ = c.ready; }
   void run(const jobs::end_process& /*c*/) { ended_ = true; }
 
   platform::store_client& store_;
@@ -157,7 +137,6 @@
   open_calls& calls_;
   node_mailbox& events_;
   std::atomic<bool> ready_ = false;
-  bool leaving_ = false;
   std::atomic<bool> ended_ = false;
 };
 
--- a/coltsfoot/jobs/job.cc
+++ b/coltsfoot/jobs/job.cc
@@ -1,7 +1,11 @@
 #include "coltsfoot/jobs/job.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
+#include "coltsfoot/base/log_text.h"
+
 namespace coltsfoot::jobs {
 namespace {
 
@@ -30,6 +34,11 @@
   return std::nullopt;
 }
 
+std::string log_text(const run_ref& run) {
+  return fmt::format("job={} task={}.{}.{} run={}", log_value(run.task.job.value),
+                     run.task.occurrence, run.task.step, run.task.index, run.run);
+}
+
 const queue_config* fleet_config::match(std::string_view host, std::string_view path) const {
   const queue_config* best = nullptr;
   for (const auto& queue : queues) {
--- a/coltsfoot/jobs/job.h
+++ b/coltsfoot/jobs/job.h
@@ -81,6 +81,9 @@
   friend auto operator<=>(const run_ref&, const run_ref&) = default;
 };
 
+// Returns the pairs that name a run in a log line.
+std::string log_text(const run_ref& run);
+
 // A queue and its service, as the operator configures them.
 struct queue_config {
   queue_id id;
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -226,7 +226,6 @@
 void job_node::claim_if_due() {
   if (owner_ || now_ < next_claim_) return;
   const election_inputs in{.node = options_.node,
-                           .life = options_.life,
                            .caught_up = jobs_.caught_up() && config_.has_value(),
                            .claiming = claim_call_ != 0 || now_ < claim_seen_by_,
                            .leaving = shutdown_at_.has_value(),
@@ -346,7 +345,6 @@
       owner_->on_batch_recorded(now_);
       if (resign_sent_) step_down("resigned");
       return;
-    case append_verdict::moved:
     case append_verdict::fenced:
       return step_down("append_fenced");
     case append_verdict::not_recorded:
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -388,10 +388,9 @@
     placed.pace_unsure = placed.pace < 100;
   }
   link.add(key, std::move(placed));
-  log(severity::info,
-      fmt::format("event=run_placed job={} task={}.{}.{} run={} worker={} idle_millicores={}",
-                  log_value(j.accepted.id.value), ref.occurrence, ref.step, ref.index, run,
-                  log_value(link.life.worker.value), link.free().millicores));
+  log(severity::info, fmt::format("event=run_placed {} worker={} idle_millicores={}",
+                                  log_text({.task = ref, .run = run}),
+                                  log_value(link.life.worker.value), link.free().millicores));
   next_.starts.emplace_back(link.life.worker, key);
   mark_changed(j);
 }
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -156,7 +156,6 @@
   placed_run* run_of(worker_link& link, const run_ref& run, task_key& key);
   void end_life(worker_link& link, std::string_view reason, time_point now);
   void change_life(worker_link& link, const look_report& report, time_point now);
-  void end_run(worker_link& link, const task_key& key);
   void lose_run(worker_link& link, const task_key& key, std::string_view reason);
   void on_ended(worker_link& link, const ended_row& row, time_point now);
   void on_running(worker_link& link, const running_row& row, time_point now);
--- a/coltsfoot/jobs/node_messages.h
+++ b/coltsfoot/jobs/node_messages.h
@@ -68,7 +68,6 @@
   recorded,
   not_recorded,  // certainly not
   unknown,       // may be recorded, also later
-  moved,         // the topic has grown beyond the offset of the condition
   fenced         // a later owner has begun its sequence
 };
 
@@ -130,7 +129,6 @@
 struct append_to_jobs {  // result: append_ended
   call_id call = 0;
   std::vector<keyed_record> records;
-  std::optional<log_offset> only_at;  // append only if the topic ends here
   std::optional<append_sequence> sequence;
   duration timeout{0};
 };
@@ -189,7 +187,6 @@
       std::pair{jobs::append_verdict::recorded, std::string_view{"recorded"}},
       std::pair{jobs::append_verdict::not_recorded, std::string_view{"not_recorded"}},
       std::pair{jobs::append_verdict::unknown, std::string_view{"unknown"}},
-      std::pair{jobs::append_verdict::moved, std::string_view{"moved"}},
       std::pair{jobs::append_verdict::fenced, std::string_view{"fenced"}}};
 };
 template <>
--- a/coltsfoot/jobs/owner_election.h
+++ b/coltsfoot/jobs/owner_election.h
@@ -22,7 +22,6 @@
 
 struct election_inputs {
   std::string node;
-  std::uint64_t life = 0;
   bool caught_up = false;  // the journal has been read to its end
   bool claiming = false;   // a claim of this node is under way
   bool leaving = false;    // this node is shutting down
--- a/coltsfoot/jobs/owner_election_test.cc
+++ b/coltsfoot/jobs/owner_election_test.cc
@@ -11,7 +11,6 @@
 
 election_inputs follower_inputs() {
   return {.node = "n1",
-          .life = 5,
           .caught_up = true,
           .claim = {.fence = 3, .node = "n2", .life = 9},
           .owner_seen = start,
--- a/tests/jobs/fake_store.cc
+++ b/tests/jobs/fake_store.cc
@@ -22,7 +22,6 @@
       if (sequence->number != last_number_ + 1) return append_verdict::fenced;
     }
   }
-  if (command.only_at && *command.only_at != t.end()) return append_verdict::moved;
   if (command.sequence) {
     fence_ = command.sequence->fence;
     last_number_ = command.sequence->number;
--- a/tests/jobs/fake_store.h
+++ b/tests/jobs/fake_store.h
@@ -1,5 +1,5 @@
-// A metadata store in memory: topics of keyed records with offsets, conditional appends, and
-// sequences of a writer that a later writer ends.
+// A metadata store in memory: topics of keyed records with offsets, and sequences of a writer that
+// a later writer ends.
 #pragma once
 
 #include <map>
