--- a/coltsfoot/transport/http_client.cc
+++ b/coltsfoot/transport/http_client.cc
@@ -9,7 +9,9 @@
 #include <unordered_map>
 #include <utility>
 
+#include "coltsfoot/transport/internal/host_queues.h"
 #include "coltsfoot/transport/internal/rest_listener.h"
+#include "coltsfoot/transport/internal/transfer_loop.h"
 
 namespace coltsfoot {
 namespace {
@@ -17,6 +19,7 @@
 struct curl_easy_deleter {
   void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
 };
+using easy_handle = std::unique_ptr<CURL, curl_easy_deleter>;
 struct curl_slist_deleter {
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
@@ -26,7 +29,9 @@
   http_request request;
   http_client::callback done;
   http_client_options limits;
-  std::unique_ptr<CURL, curl_easy_deleter> handle;
+  std::chrono::steady_clock::time_point deadline;
+  std::string host;  // and port
+  easy_handle handle;
   std::unique_ptr<curl_slist, curl_slist_deleter> headers;
   http_response response;
   std::size_t header_bytes = 0;
@@ -112,11 +117,21 @@
   return list;
 }
 
+std::string host_of(const std::string& url) {
+  const auto scheme_end = url.find("://");
+  const auto begin = scheme_end == std::string::npos ? 0 : scheme_end + 3;
+  return url.substr(begin, url.find('/', begin) - begin);
+}
+
+long timeout_ms_of(const transfer& t) {
+  const auto left = std::chrono::ceil<duration>(t.deadline - std::chrono::steady_clock::now());
+  return std::max<long>(1, static_cast<long>(left.count()));
+}
+
 void prepare(transfer& t) {
-  t.handle.reset(curl_easy_init());
   t.headers.reset(header_list(t.request));
   CURL* h = t.handle.get();
-  const auto timeout = std::max<long>(1, static_cast<long>(t.request.timeout.count()));
+  const long timeout = timeout_ms_of(t);
   curl_easy_setopt(h, CURLOPT_URL, t.request.url.c_str());
   curl_easy_setopt(h, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
@@ -170,19 +185,11 @@
 
 class http_client::impl {
  public:
-  explicit impl(http_client_options options) : options_(options) {
-    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
-    static_cast<void>(initialised);
-    multi_ = curl_multi_init();
-    curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, options_.max_connections_per_host);
-    // Kept-alive connections over all hosts.
-    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, 1024L);
+  explicit impl(http_client_options options)
+      : options_(options), queues_(static_cast<std::size_t>(options.max_connections_per_host)) {
     thread_ = std::thread{[this] { run(); }};
   }
-  ~impl() {
-    stop();
-    curl_multi_cleanup(multi_);
-  }
+  ~impl() { stop(); }
   impl(const impl&) = delete;
   impl& operator=(const impl&) = delete;
 
@@ -191,14 +198,17 @@
     t->request = std::move(request);
     t->done = std::move(done);
     t->limits = options_;
+    t->deadline = std::chrono::steady_clock::now() + t->request.timeout;
     std::unique_lock lock{mutex_};
     if (stopping_) {
       lock.unlock();
       return t->done(tl::unexpected(failure(*t, "client stopped")));
     }
+    const bool was_empty = queued_.empty();
     queued_.push_back(std::move(t));
     lock.unlock();
-    curl_multi_wakeup(multi_);
+    // The thread takes all queued requests at once.
+    if (was_empty) loop_.wake();
   }
 
   void stop() {
@@ -206,7 +216,7 @@
       const std::scoped_lock lock{mutex_};
       stopping_ = true;
     }
-    curl_multi_wakeup(multi_);
+    loop_.wake();
     if (thread_.joinable()) thread_.join();
   }
 
@@ -220,55 +230,85 @@
         fresh = std::exchange(queued_, {});
         stopping = stopping_;
       }
-      for (auto& t : fresh) begin(std::move(t));
+      for (auto& t : fresh) admit(std::move(t));
       if (stopping) return end_all();
-      int running = 0;
-      curl_multi_perform(multi_, &running);
+      constexpr duration longest_wait{1'000};
+      constexpr duration longest_wait_with_queue{20};
+      loop_.run_once(queues_.waiting() == 0 ? longest_wait : longest_wait_with_queue);
       collect();
-      // Returns early when a socket is ready, a time-out of a transfer is due or `send` was called.
-      constexpr int longest_wait_ms = 1000;
-      curl_multi_poll(multi_, nullptr, 0, longest_wait_ms, nullptr);
+      for (auto& t : queues_.take_expired(std::chrono::steady_clock::now())) {
+        t->done(tl::unexpected(failure(*t, "no connection in time")));
+      }
     }
   }
 
-  void begin(std::unique_ptr<transfer> t) {
+  void admit(std::unique_ptr<transfer> t) {
     if (const auto fault = fault_of(t->request); !fault.empty()) {
       return t->done(tl::unexpected(failure(*t, fault)));
     }
+    t->host = host_of(t->request.url);
+    const auto host = t->host;
+    const auto deadline = t->deadline;
+    if (auto ready = queues_.admit(host, std::move(t), deadline)) begin(std::move(ready));
+  }
+
+  void begin(std::unique_ptr<transfer> t) {
+    t->handle = unused_handle();
     prepare(*t);
     CURL* handle = t->handle.get();
-    curl_multi_add_handle(multi_, handle);
     open_.emplace(handle, std::move(t));
+    loop_.add(handle);
   }
 
   void collect() {
-    int left = 0;
-    while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
-      if (message->msg != CURLMSG_DONE) continue;
-      const CURLcode code = message->data.result;
-      CURL* handle = message->easy_handle;
+    while (const auto ended = loop_.next_ended()) {
+      CURL* handle = ended->handle;
+      const CURLcode code = ended->code;
       auto t = std::move(open_.at(handle));
       open_.erase(handle);
-      curl_multi_remove_handle(multi_, handle);
+      loop_.remove(handle);
       auto result = result_of(*t, code);
+      keep_for_reuse(std::move(t->handle));
+      if (auto next = queues_.release(t->host)) begin(std::move(next));
       t->done(std::move(result));
     }
   }
 
+  // Making a handle costs more than resetting one.
+  easy_handle unused_handle() {
+    if (unused_.empty()) return easy_handle{curl_easy_init()};
+    auto handle = std::move(unused_.back());
+    unused_.pop_back();
+    return handle;
+  }
+
+  void keep_for_reuse(easy_handle handle) {
+    constexpr std::size_t most_unused_handles = 32;
+    if (unused_.size() >= most_unused_handles) return;
+    curl_easy_reset(handle.get());
+    unused_.push_back(std::move(handle));
+  }
+
   void end_all() {
     auto open = std::exchange(open_, {});
     for (auto& [handle, t] : open) {
-      curl_multi_remove_handle(multi_, handle);
+      loop_.remove(handle);
+      t->done(tl::unexpected(failure(*t, "client stopped")));
+    }
+    for (auto& t : queues_.take_expired(std::chrono::steady_clock::time_point::max())) {
       t->done(tl::unexpected(failure(*t, "client stopped")));
     }
   }
 
   http_client_options options_;
-  CURLM* multi_ = nullptr;
+  internal::transfer_loop loop_{{}};
   std::mutex mutex_;
   std::vector<std::unique_ptr<transfer>> queued_;
   bool stopping_ = false;
-  std::unordered_map<CURL*, std::unique_ptr<transfer>> open_;  // used by the thread only
+  // Used by the thread only.
+  std::unordered_map<CURL*, std::unique_ptr<transfer>> open_;
+  std::vector<easy_handle> unused_;
+  internal::host_queues<transfer> queues_;
   std::thread thread_;
 };
 
