--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -32,6 +32,15 @@
 constexpr duration tick_interval{25};
 constexpr duration metrics_interval{1'000};
 
+// To the store: reads of three topics that are held back, and two appends.
+constexpr long most_store_connections = 8;
+
+// To one worker: a look that is held back, and orders.
+constexpr long most_worker_connections = 3;
+
+// Closing the connections to all workers of a large fleet at the same time would hold up orders.
+constexpr duration longest_idle_worker_connection{60'000};
+
 // Part of the grace period that is left for closing the sockets.
 constexpr duration exit_margin{1'500};
 
@@ -146,15 +155,15 @@
   auto next_metrics = next_tick;
   while (!executor.ended()) {
     const auto now = present_time();
-    std::optional<jobs::node_event> event;
-    if (now >= next_tick) {
-      next_tick = now + tick_interval;
-      event = jobs::time_passed{};
-    } else {
-      event = events.pop_until(std::chrono::steady_clock::now() + (next_tick - now));
-      if (!event) continue;
+    const auto wait = std::max(next_tick - now, duration{0});
+    auto arrived = events.pop_all_until(std::chrono::steady_clock::now() + wait);
+    const auto handled_at = present_time();
+    if (handled_at >= next_tick) {
+      next_tick = handled_at + tick_interval;
+      arrived.emplace_back(jobs::time_passed{});
     }
-    for (auto& c : node.handle(std::move(*event), present_time(), present_wall_time())) {
+    if (arrived.empty()) continue;
+    for (auto& c : node.handle_all(std::move(arrived), handled_at, present_wall_time())) {
       executor.execute(std::move(c));
     }
     if (now >= next_metrics) {
@@ -233,9 +242,14 @@
   node_mailbox events;
   open_calls calls;
   shared_text metrics;
-  http_client http{{.connect_timeout = duration{400}}};
-  platform::store_client store{http, {.address = settings.store_address}, sink};
-  platform::worker_client workers{http};
+  // Two clients, so that calls to many workers do not hold up those to the store.
+  http_client store_http{
+      {.max_connections_per_host = most_store_connections, .connect_timeout = duration{400}}};
+  http_client worker_http{{.max_connections_per_host = most_worker_connections,
+                           .connect_timeout = duration{400},
+                           .max_idle_connection = longest_idle_worker_connection}};
+  platform::store_client store{store_http, {.address = settings.store_address}, sink};
+  platform::worker_client workers{worker_http};
   peer_client peers{{.connect_timeout = duration{300}, .longest_backoff = duration{200}}, sink};
   const auto peer_listen = to_listen_address(settings.peer_address);
   peer_server peer_requests{
@@ -290,7 +304,8 @@
   readiness.stop();
   metrics_server.stop();
   peers.stop();
-  http.stop();
+  worker_http.stop();
+  store_http.stop();
   peer_requests.stop();
   log_line(severity::info, "event=stopped");
   return 0;
--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -18,6 +18,10 @@
   page.add_counter("orders_unanswered_total", stats.unanswered);
   page.add_counter("jobs_ended_total", stats.completed, exposition_label("state", "completed"));
   page.add_counter("jobs_ended_total", stats.failed, exposition_label("state", "failed"));
+  page.add_histogram("start_recorded_seconds", {}, stats.until_recorded);
+  page.add_histogram("start_answered_seconds", {}, stats.until_answered);
+  page.add_histogram("job_started_seconds", {}, stats.until_started);
+  page.add_histogram("job_completed_seconds", {}, stats.job_age);
   page.add_gauge("waiting_jobs", static_cast<double>(owner.waiting_jobs()));
   page.add_gauge("workers", static_cast<double>(owner.links().size()));
 }
--- a/coltsfoot/daemon/mailbox.h
+++ b/coltsfoot/daemon/mailbox.h
@@ -20,11 +20,21 @@
 class basic_mailbox {
  public:
   void push(Event e) {
+    bool was_empty = false;
     {
       const std::lock_guard lock{mutex_};
+      was_empty = events_.empty();
       events_.push_back(std::move(e));
     }
-    filled_.notify_one();
+    // The one reader takes all events that it finds, or is told of the first.
+    if (was_empty) filled_.notify_one();
+  }
+
+  // Returns all events in their order; none if none arrives before `deadline`.
+  std::deque<Event> pop_all_until(std::chrono::steady_clock::time_point deadline) {
+    std::unique_lock lock{mutex_};
+    filled_.wait_until(lock, deadline, [this] { return !events_.empty(); });
+    return std::exchange(events_, {});
   }
 
   // Returns the oldest event, or nothing if none arrives before `deadline`.
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -35,11 +35,20 @@
 }
 
 std::vector<node_command> job_node::handle(node_event event, time_point now, wall_time wall) {
+  std::deque<node_event> events;
+  events.push_back(std::move(event));
+  return handle_all(std::move(events), now, wall);
+}
+
+std::vector<node_command> job_node::handle_all(std::deque<node_event> events, time_point now,
+                                               wall_time wall) {
   now_ = now;
   wall_ = wall;
   if (owner_ && now - last_event_ > options_.pause_limit) step_down("paused");
   last_event_ = now;
-  std::visit([this](auto&& e) { on(std::forward<decltype(e)>(e)); }, std::move(event));
+  for (auto& event : events) {
+    std::visit([this](auto&& e) { on(std::forward<decltype(e)>(e)); }, std::move(event));
+  }
   if (!ended_) {
     claim_if_due();
     run_owner();
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -72,6 +73,9 @@
   job_node(job_node_options options, time_point now, log_sink log);
 
   std::vector<node_command> handle(node_event event, time_point now, wall_time wall);
+  // The same for events that arrived together: what follows from them is decided once.
+  std::vector<node_command> handle_all(std::deque<node_event> events, time_point now,
+                                       wall_time wall);
 
   bool is_owner() const { return owner_.has_value(); }
   const job_owner* owner() const { return owner_ ? &*owner_ : nullptr; }
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -13,6 +13,10 @@
 // A filling task goes on at least this slowly, in percent of its speed.
 constexpr std::uint32_t least_pace = 5;
 
+// Jobs and workers judged in a placing pass for each millisecond until the next pass. It bounds the
+// share of the processor that placing takes while no room is left for many waiting jobs.
+constexpr std::size_t judged_per_ms = 200;
+
 placed_run run_of_step(const step_spec& step, const task_progress& task, time_point now) {
   return {.run = task.run,
           .progressed_at = now,
@@ -161,7 +165,10 @@
   mark_changed(j);
   refresh_waiting(j);
   stop_runs_of(id, now);
-  if (outcome == job_outcome::completed) ++stats_.completed;
+  if (outcome == job_outcome::completed) {
+    ++stats_.completed;
+    stats_.job_age.record(wall_ - j.accepted.accepted_at);
+  }
   if (outcome == job_outcome::failed) ++stats_.failed;
   log(severity::info, fmt::format("event=job_ended job={} state={} age_ms={}", log_value(id.value),
                                   name_of(state_of(j)), (wall_ - j.accepted.accepted_at).count()));
@@ -222,8 +229,9 @@
 
 void job_owner::place(time_point now, wall_time wall) {
   wall_ = wall;
-  if (waiting_.empty()) return;
+  if (waiting_.empty() || now < next_place_) return;
   failed_demands_.clear();
+  judged_ = waiting_.size();
   room_is_free_ = much_room_is_free();
   std::vector<std::pair<job_urgency, job*>> order;
   order.reserve(waiting_.size());
@@ -238,6 +246,7 @@
     note_starved(*j, now);
     refresh_waiting(*j);
   }
+  next_place_ = now + duration{static_cast<std::int64_t>(judged_ / judged_per_ms)};
 }
 
 void job_owner::note_starved(const job& j, time_point now) {
@@ -283,26 +292,35 @@
   }
 }
 
-// Chooses a worker, unless a demand that is no larger found none in this pass.
-worker_link* job_owner::find_worker(const placement_request& request, time_point now) {
+// Whether a demand that is no larger found no room in this pass.
+bool job_owner::is_hopeless(const placement_request& request) const {
+  if (request.starved) return false;
   const auto& step = *request.step;
   const auto& image = step.fill ? step.image : std::string{};
-  const bool hopeless =
-      !request.starved &&
-      std::any_of(failed_demands_.begin(), failed_demands_.end(), [&](const auto& failed) {
-        return failed.service == request.service && failed.fill == step.fill &&
-               failed.image == image && (failed.restart || !request.restart) &&
-               failed.demand.fits_in(step.demand);
-      });
-  if (hopeless) return nullptr;
-  auto* chosen = choose_worker(request, links_, model_, now);
+  return std::any_of(failed_demands_.begin(), failed_demands_.end(), [&](const auto& failed) {
+    return failed.service == request.service && failed.fill == step.fill && failed.image == image &&
+           (failed.restart || !request.restart) && failed.demand.fits_in(step.demand);
+  });
+}
+
+// Ranks the workers for a task, or leaves `ranking` empty if there is no room.
+void job_owner::rank_workers(const placement_request& request, time_point now,
+                             std::optional<worker_ranking>& ranking) {
+  ranking.reset();
+  if (is_hopeless(request)) return;
+  judged_ += links_.size();
+  ranking.emplace(request, links_, model_, now);
+  if (ranking->best() != nullptr) return;
+  ranking.reset();
+  const auto& step = *request.step;
   const bool any_worker =
       step.required_label.empty() && step.max_per_worker == 0 && !request.starved;
-  if (chosen == nullptr && any_worker) {
-    failed_demands_.push_back(
-        {.service = request.service, .fill = step.fill, .image = image, .demand = step.demand});
-  }
-  return chosen;
+  if (!any_worker) return;
+  failed_demands_.push_back({.service = request.service,
+                             .fill = step.fill,
+                             .restart = request.restart,
+                             .image = step.fill ? step.image : std::string{},
+                             .demand = step.demand});
 }
 
 placement_request job_owner::request_for(const job& j, std::uint32_t occurrence,
@@ -328,17 +346,28 @@
   const auto last = first + j.accepted.spec.steps[step].count;
   const auto& spec = j.accepted.spec.steps[step];
   auto request = request_for(j, occurrence, step);
+  std::optional<worker_ranking> ranking;
+  bool ranked = false;          // for the request as it is
   bool placed_starved = false;  // one run is enough: the others wait for room
   for (auto i = first; i < last; ++i) {
     if (j.tasks[i].phase != task_phase::waiting) continue;
-    request.restart = j.tasks[i].run > 0;
-    request.starved = spec.fill && is_starved(j, now) && !placed_starved;
-    auto* link = find_worker(request, now);
+    const bool restart = j.tasks[i].run > 0;
+    const bool starved = spec.fill && is_starved(j, now) && !placed_starved;
+    ranked = ranked && restart == request.restart && starved == request.starved;
+    request.restart = restart;
+    request.starved = starved;
+    if (!ranked) rank_workers(request, now, ranking);
+    ranked = true;
+    auto* link = ranking ? ranking->best() : nullptr;
     if (link == nullptr) continue;
     placed_starved = true;
     assign(j, i, *link, j.tasks[i].run + 1, now);
     ++request.siblings[link->life.worker];
-    if (request.step->tightly_coupled) request.preferred_rack = link->listing->rack();
+    ranking->reconsider_best();
+    if (spec.tightly_coupled && request.preferred_rack != link->listing->rack()) {
+      request.preferred_rack = link->listing->rack();
+      ranked = false;
+    }
   }
 }
 
@@ -353,13 +382,19 @@
   }
   auto request = request_for(j, occurrence, step);
   std::vector<std::pair<worker_link*, task_index>> chosen;
-  for (auto i = first; i < last; ++i) {
-    auto* link = find_worker(request, now);
+  std::optional<worker_ranking> ranking;
+  rank_workers(request, now, ranking);
+  for (auto i = first; i < last && ranking; ++i) {
+    auto* link = ranking->best();
     if (link == nullptr) break;
     assign(j, i, *link, run, now);
     chosen.emplace_back(link, i);
     ++request.siblings[link->life.worker];
-    if (request.step->tightly_coupled) request.preferred_rack = link->listing->rack();
+    ranking->reconsider_best();
+    if (request.step->tightly_coupled && request.preferred_rack != link->listing->rack()) {
+      request.preferred_rack = link->listing->rack();
+      rank_workers(request, now, ranking);
+    }
   }
   if (chosen.size() == last - first) return;
   // Nothing of it is recorded yet, so that the assignments can be undone.
@@ -379,6 +414,7 @@
   task.phase = task_phase::assigned;
   task.run = run;
   task.life = link.life;
+  if (!j.started) stats_.until_started.record(wall_ - j.accepted.accepted_at);
   j.started = true;
   const task_key key{.job = j.accepted.id, .index = index};
   auto placed = run_of_step(step, task, now);
@@ -418,6 +454,7 @@
     const auto run = link->second.runs.find(key);
     if (run == link->second.runs.end() || run->second.phase != start_phase::recording) continue;
     run->second.phase = start_phase::to_send;
+    stats_.until_recorded.record(now - run->second.began);
     send_due_orders(link->second, now);
   }
   for (const auto& [worker, number] : effects.ends) {
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -27,6 +28,7 @@
 #include "coltsfoot/jobs/placement.h"
 #include "coltsfoot/jobs/worker_calls.h"
 #include "coltsfoot/jobs/worker_link.h"
+#include "coltsfoot/observe/latency_histogram.h"
 #include "coltsfoot/transport/transport_error.h"
 
 namespace coltsfoot::jobs {
@@ -61,6 +63,10 @@
   std::uint64_t paces = 0;       // orders to work slower or faster
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
+  latency_histogram until_recorded;  // of a start, from its placing
+  latency_histogram until_answered;  // of a start order, from sending it
+  latency_histogram until_started;   // from a job's acceptance to its first placing
+  latency_histogram job_age;         // of completed jobs, from acceptance to the end
 };
 
 class job_owner {
@@ -144,7 +150,9 @@
   bool is_starved(const job& j, time_point now) const;
   bool much_room_is_free() const;
   void place_job(job& j, time_point now);
-  worker_link* find_worker(const placement_request& request, time_point now);
+  bool is_hopeless(const placement_request& request) const;
+  void rank_workers(const placement_request& request, time_point now,
+                    std::optional<worker_ranking>& ranking);
   void place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
   void place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
   void assign(job& j, task_index index, worker_link& link, run_number run, time_point now);
@@ -163,6 +171,8 @@
                       time_point now);
   void stop_run(worker_link& link, const task_key& key, time_point now);
   void drain_runs(worker_link& link, time_point now);
+  void tend_workers(time_point now);
+  void tend_worker(worker_link& link, time_point now);
   void send_due_orders(worker_link& link, time_point now);
   void send_start(worker_link& link, const task_key& key, placed_run& run, time_point now);
   void send_stop(worker_link& link, const run_ref& run);
@@ -188,9 +198,12 @@
   std::set<job_id> waiting_;                    // open jobs with a task that could be placed
   std::map<job_id, time_point> runless_since_;  // waiting jobs without a run
   bool room_is_free_ = false;                   // of the present placing pass
-  std::vector<failed_demand> failed_demands_;   // of the present placing pass
-  std::set<job_id> cancelling_;                 // cancelled jobs with runs that have not ended
-  std::set<job_id> scheduled_;                  // jobs with occurrences that are not due yet
+  std::size_t judged_ = 0;                      // jobs and workers, in the present placing pass
+  time_point next_place_{};                     // when the next placing pass may begin
+  worker_id last_tended_;
+  std::vector<failed_demand> failed_demands_;  // of the present placing pass
+  std::set<job_id> cancelling_;                // cancelled jobs with runs that have not ended
+  std::set<job_id> scheduled_;                 // jobs with occurrences that are not due yet
 
   std::set<job_id> dirty_;  // progress to be recorded
   std::vector<keyed_record> removals_;
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -23,6 +23,7 @@
   if (!lease_end) return;
   run.phase = start_phase::sent;
   run.next_try = now + options_.order_timeout + options_.order_retry;
+  run.sent_at = now;
   ++stats_.starts;
   orders_.push_back({.life = link.life,
                      .address = link.listing->address,
@@ -60,6 +61,11 @@
   if (!link.listing || fenced_) return;
   if (!link.looking && now >= link.next_look) send_look(link, now);
   for (auto& [key, run] : link.runs) {
+    // A start renews the lease too.
+    const bool start_due =
+        link.failed_looks == 0 && (run.phase == start_phase::to_send ||
+                                   (run.phase == start_phase::sent && now >= run.next_try));
+    if (!run.stop_wanted && !start_due) continue;
     const auto* j = table_.find(key.job);
     if (run.stop_wanted) {
       if (run.stop_sent || run.stop_answered || now < run.next_try) continue;
@@ -69,12 +75,7 @@
       if (j != nullptr) send_stop(link, {.task = j->ref_of(key.index), .run = run.run});
       continue;
     }
-    if (j == nullptr || j->ended()) continue;
-    // A start renews the lease too.
-    const bool due =
-        link.failed_looks == 0 && (run.phase == start_phase::to_send ||
-                                   (run.phase == start_phase::sent && now >= run.next_try));
-    if (due) send_start(link, key, run, now);
+    if (j != nullptr && !j->ended()) send_start(link, key, run, now);
   }
 }
 
@@ -92,6 +93,7 @@
   task_key key;
   auto* run = run_of(*link, ref, key);
   if (run == nullptr || run->phase != start_phase::sent) return;
+  stats_.until_answered.record(now - run->sent_at);
   if (answer.verdict != order_verdict::accepted) {
     log(severity::info,
         fmt::format("event=start_not_accepted {} worker={} verdict={}", log_text(ref),
@@ -179,7 +181,7 @@
   }
   for (const auto& change : changes) {
     auto& run = link.runs.at(change.key);
-    run.pace = change.percent;
+    link.set_pace(run, change.percent);
     send_pace(link, change.key, run);
   }
 }
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -13,6 +13,11 @@
 
 constexpr duration summary_interval{1'000};
 
+// Workers that are tended in one tick at the most, unless the fleet has so many that all would not
+// have their turn within this number of ticks.
+constexpr std::size_t most_tended_at_once = 64;
+constexpr std::size_t turns_for_all = 8;
+
 // Weight of a new figure beside the former ones, which it replaces with this time constant.
 double weight_of_newest(duration since_former) {
   constexpr double time_constant_ms = 500;
@@ -365,28 +370,7 @@
 
 void job_owner::tick(time_point now, wall_time wall) {
   wall_ = wall;
-  std::vector<worker_id> unused;
-  for (auto& [id, link] : links_) {
-    const bool silent = link.failed_looks > 0 || !link.last_contact || !link.listing;
-    if (silent && now >= link.lease.lapses_at() && !link.runs.empty()) {
-      end_life(link, "lease_lapsed", now);
-    }
-    std::vector<task_key> stalled;
-    for (const auto& [key, run] : link.runs) {
-      const auto* j = table_.find(key.job);
-      if (j == nullptr || j->ended() || run.phase != start_phase::confirmed) continue;
-      const bool stuck = run.percent < 100 && link.failed_looks == 0 &&
-                         now - run.progressed_at > options_.stall_limit;
-      if (stuck && !j->step_of(j->ref_of(key.index)).fill) stalled.push_back(key);
-    }
-    for (const auto& key : stalled) {
-      note_worker_failure(link, now);
-      stop_run(link, key, now);
-    }
-    send_due_orders(link, now);
-    if (!link.listed && link.runs.empty()) unused.push_back(id);
-  }
-  for (const auto& id : unused) links_.erase(id);
+  tend_workers(now);
   for (const auto& id : std::vector<job_id>{cancelling_.begin(), cancelling_.end()}) {
     if (auto* j = table_.find(id)) {
       stop_runs_of(id, now);
@@ -406,6 +390,40 @@
   log_summary(now);
 }
 
+// Tends all workers of a small fleet, and a part of those of a large one, in turn.
+void job_owner::tend_workers(time_point now) {
+  const auto part = std::max(most_tended_at_once, links_.size() / turns_for_all + 1);
+  auto at = links_.upper_bound(last_tended_);
+  for (auto left = std::min(part, links_.size()); left > 0; --left) {
+    if (at == links_.end()) at = links_.begin();
+    last_tended_ = at->first;
+    tend_worker(at->second, now);
+    const bool unused = !at->second.listed && at->second.runs.empty();
+    at = unused ? links_.erase(at) : std::next(at);
+  }
+}
+
+void job_owner::tend_worker(worker_link& link, time_point now) {
+  const bool silent = link.failed_looks > 0 || !link.last_contact || !link.listing;
+  if (silent && now >= link.lease.lapses_at() && !link.runs.empty()) {
+    end_life(link, "lease_lapsed", now);
+  }
+  std::vector<task_key> stalled;
+  for (const auto& [key, run] : link.runs) {
+    const bool stuck = run.phase == start_phase::confirmed && run.percent < 100 &&
+                       link.failed_looks == 0 && now - run.progressed_at > options_.stall_limit;
+    if (!stuck) continue;
+    const auto* j = table_.find(key.job);
+    if (j == nullptr || j->ended()) continue;
+    if (!j->step_of(j->ref_of(key.index)).fill) stalled.push_back(key);
+  }
+  for (const auto& key : stalled) {
+    note_worker_failure(link, now);
+    stop_run(link, key, now);
+  }
+  send_due_orders(link, now);
+}
+
 void job_owner::log_summary(time_point now) const {
   std::size_t usable = 0;
   std::size_t serving = 0;
@@ -426,6 +444,18 @@
                   "waiting_jobs={} capacity_millicores={} used_millicores={} fill_millicores={}",
                   links_.size(), usable, serving, runs, waiting_.size(), capacity.millicores,
                   used.millicores, fill));
+  const auto median_ms = [](const latency_histogram& values) {
+    return std::chrono::duration_cast<duration>(values.quantile(0.5)).count();
+  };
+  const auto tail_ms = [](const latency_histogram& values) {
+    return std::chrono::duration_cast<duration>(values.quantile(0.99)).count();
+  };
+  log(severity::info,
+      fmt::format("event=owner_latency started_p50_ms={} started_p99_ms={} recorded_p50_ms={} "
+                  "recorded_p99_ms={} answered_p50_ms={} answered_p99_ms={}",
+                  median_ms(stats_.until_started), tail_ms(stats_.until_started),
+                  median_ms(stats_.until_recorded), tail_ms(stats_.until_recorded),
+                  median_ms(stats_.until_answered), tail_ms(stats_.until_answered)));
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_table.h
+++ b/coltsfoot/jobs/job_table.h
@@ -110,7 +110,7 @@
   auto end() const { return jobs_.end(); }
 
  private:
-  std::map<job_id, job> jobs_;
+  std::unordered_map<job_id, job> jobs_;
   std::map<job_id, bool> early_cancels_;  // of jobs that are not in the table
 };
 
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -44,15 +44,25 @@
   return found == request.siblings.end() || found->second < limit;
 }
 
-// Headroom that a serving task keeps once all filling tasks that were placed show in the reports.
-double expected_headroom(const worker_link& link, const placed_run& serving,
-                         const interference_model& model, time_point now) {
-  double headroom = serving.headroom > 0 ? serving.headroom : assumed_headroom;
+// Filling runs of a worker that its reports do not show yet.
+std::vector<const placed_run*> unseen_fill(const worker_link& link, time_point now) {
+  std::vector<const placed_run*> unseen;
+  if (link.fill_millicores == 0) return unseen;
   for (const auto& [key, run] : link.runs) {
     if (run.fill_millicores == 0) continue;
     const bool shows = run.phase == start_phase::confirmed && now - run.began > shows_after;
-    if (shows) continue;
-    headroom -= model.loss(serving.image, run.image, fill_share(link, run.fill_millicores));
+    if (!shows) unseen.push_back(&run);
+  }
+  return unseen;
+}
+
+// Headroom that a serving task keeps once all filling tasks that were placed show in the reports.
+double expected_headroom(const worker_link& link, const placed_run& serving,
+                         const std::vector<const placed_run*>& unseen,
+                         const interference_model& model) {
+  double headroom = serving.headroom > 0 ? serving.headroom : assumed_headroom;
+  for (const auto* run : unseen) {
+    headroom -= model.loss(serving.image, run->image, fill_share(link, run->fill_millicores));
   }
   return headroom;
 }
@@ -77,6 +87,7 @@
 
 // Headroom that all serving tasks of a worker lose together.
 double total_loss(const worker_link& link, const step_spec& step, const interference_model& model) {
+  if (link.serving == 0) return 0;
   const auto share = fill_share(link, step.demand.millicores);
   double sum = 0;
   for (const auto& [key, run] : link.runs) {
@@ -91,56 +102,70 @@
   });
 }
 
-// Compared as a whole; the greatest is chosen.
-using suitability = std::tuple<bool, bool, bool, double>;
-
-suitability suitability_of(const placement_request& request, const worker_link& link,
-                           const interference_model& model, time_point now) {
-  const auto& step = *request.step;
-  const bool near_data = !step.data_label.empty() && link.listing->has_label(step.data_label);
-  const bool near_siblings =
-      !request.preferred_rack.empty() && link.listing->rack() == request.preferred_rack;
-  const auto share = [&link](std::int64_t millicores) { return fill_share(link, millicores); };
-  if (step.serves()) {
-    return {near_data, near_siblings, serves_image(link, step.image),
-            -share(link.free().millicores)};
-  }
-  double value = share(link.idle_millicores());
-  if (step.fill) value -= idle_per_headroom * total_loss(link, step, model);
-  if (request.starved) value = bearable_percent(step, link, model, now);
-  return {near_data, near_siblings, false, value};
-}
-
 }  // namespace
 
 std::uint32_t bearable_percent(const step_spec& step, const worker_link& link,
                                const interference_model& model, time_point now) {
+  if (link.serving == 0) return full_speed;
   const auto share = fill_share(link, step.demand.millicores);
+  const auto unseen = unseen_fill(link, now);
   double part = 1;
   for (const auto& [key, run] : link.runs) {
     if (!run.serves) continue;
-    const auto room = expected_headroom(link, run, model, now) - least_expected_headroom;
+    const auto room = expected_headroom(link, run, unseen, model) - least_expected_headroom;
     const auto loss = model.loss(run.image, step.image, share);
     if (room < loss) part = std::min(part, std::max(room, 0.0) / loss);
   }
   return static_cast<std::uint32_t>(part * full_speed);
 }
 
-worker_link* choose_worker(const placement_request& request, worker_links& links,
-                           const interference_model& model, time_point now) {
-  worker_link* best = nullptr;
-  suitability best_value;
+worker_ranking::worker_ranking(const placement_request& request, worker_links& links,
+                               const interference_model& model, time_point now)
+    : request_(request), model_(model), now_(now) {
   for (auto& [id, link] : links) {
-    if (!link.usable(now) || !meets_rules(request, *link.listing)) continue;
-    if (!within_worker_limit(request, id) || !has_room(request, link, model, now)) {
-      continue;
-    }
-    const auto value = suitability_of(request, link, model, now);
-    if (best != nullptr && value <= best_value) continue;
-    best = &link;
-    best_value = value;
+    if (auto value = judge(link)) candidates_.push_back({.value = *value, .link = &link});
+  }
+  std::make_heap(candidates_.begin(), candidates_.end(), suits_less);
+}
+
+worker_link* worker_ranking::best() const {
+  return candidates_.empty() ? nullptr : candidates_.front().link;
+}
+
+void worker_ranking::reconsider_best() {
+  if (candidates_.empty()) return;
+  std::pop_heap(candidates_.begin(), candidates_.end(), suits_less);
+  const auto value = judge(*candidates_.back().link);
+  if (!value) {
+    candidates_.pop_back();
+    return;
+  }
+  candidates_.back().value = *value;
+  std::push_heap(candidates_.begin(), candidates_.end(), suits_less);
+}
+
+// Of workers that suit equally, the one with the lowest id comes first.
+bool worker_ranking::suits_less(const candidate& a, const candidate& b) {
+  if (a.value != b.value) return a.value < b.value;
+  return b.link->life.worker < a.link->life.worker;
+}
+
+std::optional<worker_ranking::suitability> worker_ranking::judge(const worker_link& link) const {
+  if (!link.usable(now_) || !meets_rules(request_, *link.listing)) return std::nullopt;
+  if (!within_worker_limit(request_, link.life.worker)) return std::nullopt;
+  if (!has_room(request_, link, model_, now_)) return std::nullopt;
+  const auto& step = *request_.step;
+  const bool near_data = !step.data_label.empty() && link.listing->has_label(step.data_label);
+  const bool near_siblings =
+      !request_.preferred_rack.empty() && link.listing->rack() == request_.preferred_rack;
+  if (step.serves()) {
+    return suitability{near_data, near_siblings, serves_image(link, step.image),
+                       -fill_share(link, link.free().millicores)};
   }
-  return best;
+  double value = fill_share(link, link.idle_millicores());
+  if (step.fill) value -= idle_per_headroom * total_loss(link, step, model_);
+  if (request_.starved) value = bearable_percent(step, link, model_, now_);
+  return suitability{near_data, near_siblings, false, value};
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -6,12 +6,19 @@
 // only as far as its image is known to leave their tails below the target.
 //
 //   const placement_request request{.step = &step, .service = service};
-//   worker_link* chosen = choose_worker(request, links, model, now);
+//   worker_ranking ranking{request, links, model, now};
+//   while (worker_link* chosen = ranking.best()) {
+//     place_one_task_on(*chosen);
+//     ranking.reconsider_best();
+//   }
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <tuple>
+#include <vector>
 
 #include "coltsfoot/jobs/interference_model.h"
 #include "coltsfoot/jobs/worker_link.h"
@@ -32,9 +39,35 @@
   bool restart = false;  // the task has run before: it may use room that is kept for others
 };
 
-// Returns the worker with room that suits best, or null.
-worker_link* choose_worker(const placement_request& request, worker_links& links,
-                           const interference_model& model, time_point now);
+// The workers with room for tasks of one request, by how well they suit. The request, the workers
+// and the model must outlive it. Between two calls only the best worker may change.
+class worker_ranking {
+ public:
+  worker_ranking(const placement_request& request, worker_links& links,
+                 const interference_model& model, time_point now);
+
+  // Returns the worker that suits best, or null if none has room.
+  worker_link* best() const;
+  // Judges the best worker again, after a task was placed there.
+  void reconsider_best();
+
+ private:
+  // Whether the data and the siblings of the task are near, whether tasks of its image serve there,
+  // and how much room it leaves. Compared as a whole; the greatest is the best.
+  using suitability = std::tuple<bool, bool, bool, double>;
+  struct candidate {
+    suitability value;
+    worker_link* link = nullptr;
+  };
+
+  static bool suits_less(const candidate& a, const candidate& b);
+  std::optional<suitability> judge(const worker_link& link) const;
+
+  const placement_request& request_;
+  const interference_model& model_;
+  time_point now_;
+  std::vector<candidate> candidates_;  // a heap, the best first
+};
 
 // Share of its speed, in percent, at which the serving tasks of a worker bear one more filling
 // task.
--- a/coltsfoot/jobs/placement_test.cc
+++ b/coltsfoot/jobs/placement_test.cc
@@ -42,7 +42,8 @@
 
 worker_link* choose(const step_spec& step, worker_links& links, bool restart = false,
                     const interference_model& model = interference_model{{}}) {
-  return choose_worker({.step = &step, .service = service, .restart = restart}, links, model, now);
+  const placement_request request{.step = &step, .service = service, .restart = restart};
+  return worker_ranking{request, links, model, now}.best();
 }
 
 TEST(placement_test, short_tasks_are_spread) {
@@ -78,7 +79,8 @@
   step.max_per_worker = 1;
   const placement_request request{
       .step = &step, .service = service, .siblings = {{worker_id{"w2"}, 1}}};
-  EXPECT_EQ(choose_worker(request, links, interference_model{{}}, now), &first);
+  const interference_model model{{}};
+  EXPECT_EQ((worker_ranking{request, links, model, now}.best()), &first);
 }
 
 TEST(placement_test, serving_tasks_of_one_image_are_packed) {
@@ -126,5 +128,46 @@
   EXPECT_EQ(choose(filling_step("f"), links, false, model), &links.at(worker_id{"w2"}));
 }
 
+TEST(placement_test, a_step_is_spread_with_one_ranking_of_the_workers) {
+  worker_links links;
+  for (int i = 0; i < 4; ++i) add_worker(links, "w" + std::to_string(i));
+  const auto step = short_step(6'000);
+  const placement_request request{.step = &step, .service = service};
+  const interference_model model{{}};
+  worker_ranking ranking{request, links, model, now};
+  for (std::uint32_t task = 0; task < 8; ++task) {
+    auto* chosen = ranking.best();
+    ASSERT_NE(chosen, nullptr);
+    chosen->add({job_id{"j"}, task}, {.demand = {.millicores = 6'000}});
+    ranking.reconsider_best();
+  }
+  for (const auto& [id, link] : links) EXPECT_EQ(link.runs.size(), 2U) << id.value;
+}
+
+TEST(placement_test, a_worker_that_is_full_leaves_the_ranking) {
+  worker_links links;
+  add_worker(links, "w");
+  const auto step = short_step(40'000);
+  const placement_request request{.step = &step, .service = service};
+  const interference_model model{{}};
+  worker_ranking ranking{request, links, model, now};
+  ASSERT_NE(ranking.best(), nullptr);
+  ranking.best()->add({job_id{"j"}, 0}, {.demand = {.millicores = 40'000}});
+  ranking.reconsider_best();
+  EXPECT_EQ(ranking.best(), nullptr);
+}
+
+TEST(placement_test, room_follows_the_pace_of_filling_tasks) {
+  worker_links links;
+  auto& link = add_worker(links, "w");
+  const task_key key{job_id{"f"}, 0};
+  link.add(key, {.fill_millicores = 30'000});
+  const auto at_full_speed = link.idle_millicores();
+  link.set_pace(link.runs.at(key), 50);
+  EXPECT_EQ(link.idle_millicores(), at_full_speed + 15'000);
+  link.remove(key);
+  EXPECT_EQ(link.idle_millicores(), at_full_speed + 30'000);
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -11,11 +11,16 @@
 // Share of their processors that serving tasks are assumed to leave to filling ones, in percent.
 constexpr int left_by_serving_percent = 60;
 
+std::int64_t paced_millicores(const placed_run& run) {
+  return run.fill_millicores * run.pace / 100;
+}
+
 }  // namespace
 
 void worker_link::add(const task_key& key, placed_run run) {
   used += run.demand;
   fill_millicores += run.fill_millicores;
+  paced_fill_millicores += paced_millicores(run);
   if (run.serves) {
     ++serving;
     serving_millicores += run.demand.millicores;
@@ -29,6 +34,7 @@
   const auto& run = found->second;
   used -= run.demand;
   fill_millicores -= run.fill_millicores;
+  paced_fill_millicores -= paced_millicores(run);
   if (run.serves) {
     --serving;
     serving_millicores -= run.demand.millicores;
@@ -36,15 +42,19 @@
   runs.erase(found);
 }
 
+void worker_link::set_pace(placed_run& run, std::uint32_t percent) {
+  paced_fill_millicores -= paced_millicores(run);
+  run.pace = percent;
+  paced_fill_millicores += paced_millicores(run);
+}
+
 resources worker_link::free() const {
   return listing ? listing->capacity - used : resources{};
 }
 
 std::int64_t worker_link::idle_millicores() const {
   const auto assumed = free().millicores + serving_millicores * left_by_serving_percent / 100;
-  std::int64_t demanded = 0;
-  for (const auto& [key, run] : runs) demanded += run.fill_millicores * run.pace / 100;
-  return assumed - demanded;
+  return assumed - paced_fill_millicores;
 }
 
 bool worker_link::usable(time_point now) const {
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -47,7 +47,8 @@
   double headroom = 0;          // of a serving task: target over tail, smoothed; 0: unknown
   std::uint32_t pace = 100;     // percent of its speed that it was told to work at
   bool pace_unsure = false;     // the order for `pace` was not answered
-  time_point began{};           // when its order was first sent
+  time_point began{};           // when it was placed
+  time_point sent_at{};         // when its newest start order was sent
 };
 
 struct worker_link {
@@ -62,7 +63,8 @@
 
   // Room, kept along with `runs`.
   resources used;
-  std::int64_t fill_millicores = 0;
+  std::int64_t fill_millicores = 0;        // of filling tasks at full speed
+  std::int64_t paced_fill_millicores = 0;  // the same at the pace they were told
   std::int32_t serving = 0;
   std::int64_t serving_millicores = 0;
 
@@ -83,6 +85,8 @@
 
   void add(const task_key& key, placed_run run);
   void remove(const task_key& key);
+  // Changes the pace of a run that is on this worker.
+  void set_pace(placed_run& run, std::uint32_t percent);
   resources free() const;
   // Processors that filling tasks could use and do not.
   std::int64_t idle_millicores() const;
