--- a/coltsfoot/config/fleet_settings.cc
+++ b/coltsfoot/config/fleet_settings.cc
@@ -35,6 +35,17 @@
     duration_key{"longest_lease_ms", &fleet_settings::longest_lease},
     duration_key{"shutdown_grace_ms", &fleet_settings::shutdown_grace}};
 
+struct number_key {
+  std::string_view name;
+  std::uint32_t fleet_settings::* member;
+  std::uint32_t most;
+};
+constexpr std::array number_keys{
+    number_key{"journal_partitions", &fleet_settings::journal_partitions, 1'024}};
+
+constexpr std::string_view processor_key = "processor_cores";
+constexpr double most_cores = 1'024;
+
 bool is_address(std::string_view text) {
   const auto colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) return false;
@@ -73,6 +84,33 @@
   return std::nullopt;
 }
 
+std::optional<config_error> read_number(const YAML::Node& root, const std::string& file,
+                                        const number_key& key, fleet_settings& out) {
+  const auto node = root[std::string{key.name}];
+  if (!node) return std::nullopt;
+  std::uint32_t value = 0;
+  if (!YAML::convert<std::uint32_t>::decode(node, value) || value < 1 || value > key.most) {
+    return error_at(node, file, key.name,
+                    "is no whole number from 1 to " + std::to_string(key.most));
+  }
+  out.*key.member = value;
+  return std::nullopt;
+}
+
+// A share of a core is a fraction.
+std::optional<config_error> read_processor(const YAML::Node& root, const std::string& file,
+                                           fleet_settings& out) {
+  const auto node = root[std::string{processor_key}];
+  if (!node) return std::nullopt;
+  constexpr double millicores_per_core = 1'000;
+  double cores = 0;
+  if (!YAML::convert<double>::decode(node, cores) || !(cores > 0) || cores > most_cores) {
+    return error_at(node, file, processor_key, "is no number of cores above 0 (at most 1024)");
+  }
+  out.processor_millicores = static_cast<std::uint32_t>(cores * millicores_per_core);
+  return std::nullopt;
+}
+
 }  // namespace
 
 tl::expected<fleet_settings, config_error> parse_fleet_settings(std::string_view text,
@@ -83,6 +121,8 @@
   names.reserve(text_keys.size() + duration_keys.size());
   for (const auto& key : text_keys) names.push_back(key.name);
   for (const auto& key : duration_keys) names.push_back(key.name);
+  for (const auto& key : number_keys) names.push_back(key.name);
+  names.push_back(processor_key);
   if (auto error = check_map(*root, file, names)) return tl::unexpected(std::move(*error));
   fleet_settings out;
   for (const auto& key : text_keys) {
@@ -93,6 +133,10 @@
       return tl::unexpected(std::move(*error));
     }
   }
+  for (const auto& key : number_keys) {
+    if (auto error = read_number(*root, file, key, out)) return tl::unexpected(std::move(*error));
+  }
+  if (auto error = read_processor(*root, file, out)) return tl::unexpected(std::move(*error));
   return out;
 }
 
--- a/coltsfoot/config/fleet_settings.h
+++ b/coltsfoot/config/fleet_settings.h
@@ -14,15 +14,17 @@
 namespace coltsfoot {
 
 struct fleet_settings {
-  std::string node;                // name of this node, unique in the fleet
-  std::string zone;                // availability zone
-  std::string caller_address;      // "ip:port" for callers
-  std::string readiness_address;   // "ip:port" of the readiness probe
-  std::string peer_address;        // "ip:port" for other nodes
-  std::string metrics_address;     // "ip:port" of /metrics
-  std::string store_address;       // "ip:port" of the metadata store
-  duration longest_lease{10'000};  // that a worker grants
-  duration shutdown_grace{6'000};  // from the stop signal to the kill
+  std::string node;                        // name of this node, unique in the fleet
+  std::string zone;                        // availability zone
+  std::string caller_address;              // "ip:port" for callers
+  std::string readiness_address;           // "ip:port" of the readiness probe
+  std::string peer_address;                // "ip:port" for other nodes
+  std::string metrics_address;             // "ip:port" of /metrics
+  std::string store_address;               // "ip:port" of the metadata store
+  std::uint32_t processor_millicores = 0;  // of this node, in thousandths of a core; 0: unknown
+  std::uint32_t journal_partitions = 1;    // of the store, the most shards there can be
+  duration longest_lease{10'000};          // that a worker grants
+  duration shutdown_grace{6'000};          // from the stop signal to the kill
 };
 
 // All keys that have no default must be given. Unknown keys are errors.
--- a/coltsfoot/config/fleet_settings_test.cc
+++ b/coltsfoot/config/fleet_settings_test.cc
@@ -28,6 +28,18 @@
   EXPECT_EQ(settings->shutdown_grace, fleet_settings{}.shutdown_grace);
 }
 
+TEST(fleet_settings_test, reads_what_a_node_has_for_owning_jobs) {
+  const auto settings =
+      parse_fleet_settings(complete + "processor_cores: 0.12\njournal_partitions: 8\n", "f.yaml");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->processor_millicores, 120U);
+  EXPECT_EQ(settings->journal_partitions, 8U);
+  for (const auto* wrong : {"processor_cores: 0\n", "processor_cores: fast\n",
+                            "journal_partitions: 0\n", "journal_partitions: 1.5\n"}) {
+    EXPECT_FALSE(parse_fleet_settings(complete + wrong, "f.yaml")) << wrong;
+  }
+}
+
 TEST(fleet_settings_test, errors_name_the_file_and_the_key) {
   EXPECT_NE(error_of("node: n1\n").find("zone: is missing"), std::string::npos);
   EXPECT_NE(error_of(complete + "colour: red\n").find("f.yaml:8: colour"), std::string::npos)
--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -122,8 +122,9 @@
     });
   }
   void run(const jobs::read_topic& c) {
-    store_.read(c, [this, call = c.call, topic = c.topic](auto page) {
-      events_.push(jobs::topic_read{.call = call, .topic = topic, .page = std::move(page)});
+    store_.read(c, [this, call = c.call, topic = c.topic, shard = c.shard](auto page) {
+      events_.push(
+          jobs::topic_read{.call = call, .topic = topic, .shard = shard, .page = std::move(page)});
     });
   }
   void run(const jobs::give_order& c) {
@@ -177,11 +178,13 @@
   jobs::job_node_options options{
       .node = settings.node,
       .life = (std::uint64_t{std::random_device{}()} << 20U) ^ std::random_device{}(),
+      .strength = settings.processor_millicores,
       .peer_address = settings.peer_address,
       .codec = {.config = platform::decode_config,
                 .worker = platform::decode_worker,
                 .config_key = std::string{platform::config_key}}};
   options.owner.lease = std::min(options.owner.lease, settings.longest_lease);
+  options.layout.most_shards = settings.journal_partitions;
   options.drain_time = std::max(settings.shutdown_grace - exit_margin, settings.shutdown_grace / 2);
   return options;
 }
--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -1,13 +1,34 @@
 #include "coltsfoot/daemon/fleet_metrics.h"
 
+#include <utility>
+
 #include "coltsfoot/observe/exposition.h"
 #include "coltsfoot/observe/logger.h"
 
 namespace coltsfoot {
 namespace {
 
-void add_owner_metrics(exposition& page, const jobs::job_owner& owner) {
-  const auto& stats = owner.stats();
+// Samples of one name must follow each other, so that the owned shards are added up.
+struct owned_totals {
+  jobs::job_owner_stats stats;
+  std::size_t waiting_jobs = 0;
+  std::size_t workers = 0;
+};
+
+owned_totals totals_of(const jobs::job_node& node) {
+  owned_totals sum;
+  for (const auto& shard : node.shards()) {
+    const auto* owner = std::as_const(*shard).owner();
+    if (owner == nullptr) continue;
+    sum.stats += owner->stats();
+    sum.waiting_jobs += owner->waiting_jobs();
+    sum.workers += owner->links().size();
+  }
+  return sum;
+}
+
+void add_owner_metrics(exposition& page, const owned_totals& totals) {
+  const auto& stats = totals.stats;
   page.add_counter("task_starts_total", stats.starts);
   page.add_counter("task_ends_total", stats.ends_done, exposition_label("end", "done"));
   page.add_counter("task_ends_total", stats.ends_failed, exposition_label("end", "failed"));
@@ -22,8 +43,8 @@
   page.add_histogram("start_answered_seconds", {}, stats.until_answered);
   page.add_histogram("job_started_seconds", {}, stats.until_started);
   page.add_histogram("job_completed_seconds", {}, stats.job_age);
-  page.add_gauge("waiting_jobs", static_cast<double>(owner.waiting_jobs()));
-  page.add_gauge("workers", static_cast<double>(owner.links().size()));
+  page.add_gauge("waiting_jobs", static_cast<double>(totals.waiting_jobs));
+  page.add_gauge("workers", static_cast<double>(totals.workers));
 }
 
 }  // namespace
@@ -31,8 +52,9 @@
 std::string fleet_metrics_page(const jobs::job_node& node) {
   exposition page;
   const auto& stats = node.stats();
-  page.add_gauge("is_owner", node.is_owner() ? 1 : 0);
-  page.add_gauge("jobs", static_cast<double>(node.table().size()));
+  page.add_gauge("owned_shards", static_cast<double>(node.owned_shards()));
+  page.add_gauge("shards", static_cast<double>(node.shards().size()));
+  page.add_gauge("jobs", static_cast<double>(node.jobs()));
   page.add_gauge("config_version", static_cast<double>(node.config_version()));
   for (const auto& [verdict, count] : stats.answers) {
     page.add_counter("answers_total", count, exposition_label("verdict", name_of(verdict)));
@@ -45,7 +67,7 @@
   page.add_counter("claims_total", stats.claims);
   page.add_counter("takeovers_total", stats.takeovers);
   page.add_counter("step_downs_total", stats.step_downs);
-  if (const auto* owner = node.owner()) add_owner_metrics(page, *owner);
+  if (node.owned_shards() > 0) add_owner_metrics(page, totals_of(node));
   return page.text();
 }
 
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -10,13 +10,6 @@
 namespace coltsfoot::jobs {
 namespace {
 
-// How long a node waits for the owner to take a notice. A notice that is lost is read in the
-// journal.
-constexpr duration notice_timeout{500};
-
-// Time kept back from a caller's deadline for the answer's way.
-constexpr duration answer_margin{100};
-
 accepted_job accepted_from(const caller_request& request, const queue_config& queue,
                            const job_id& id, wall_time wall) {
   return {.id = id,
@@ -33,23 +26,30 @@
 }  // namespace
 
 void job_node::on(const caller_request& request) {
-  open_calls_.insert(request.call);
-  if (!config_) {
-    return answer(request.call, {.verdict = caller_verdict::unavailable,
-                                 .retry_after = options_.retry_after,
-                                 .detail = "no configuration yet"});
+  context_.open_calls.insert(request.call);
+  if (!config_ || !layout().decided()) {
+    return context_.answer(request.call, {.verdict = caller_verdict::unavailable,
+                                          .retry_after = context_.options.retry_after,
+                                          .detail = "starting"});
   }
   const auto* queue = config_->match(request.host, request.path);
-  if (queue == nullptr) return answer(request.call, {.verdict = caller_verdict::no_such_queue});
+  if (queue == nullptr) {
+    return context_.answer(request.call, {.verdict = caller_verdict::no_such_queue});
+  }
   const std::string name = request.path.substr(queue->path_prefix.size());
   if (request.action == caller_action::count ||
       (name.empty() && request.action == caller_action::query)) {
-    return answer(request.call,
-                  {.verdict = caller_verdict::counted, .pending = table_.pending(queue->id)});
+    if (!journals_are_read()) {
+      return context_.answer(request.call, {.verdict = caller_verdict::gone_wrong,
+                                            .retry_after = context_.options.retry_after,
+                                            .detail = "the journal is being read"});
+    }
+    return context_.answer(request.call,
+                           {.verdict = caller_verdict::counted, .pending = pending(queue->id)});
   }
   if (name.empty() || name.find('/') != std::string::npos) {
-    return answer(request.call,
-                  {.verdict = caller_verdict::malformed, .detail = "no job id in the path"});
+    return context_.answer(
+        request.call, {.verdict = caller_verdict::malformed, .detail = "no job id in the path"});
   }
   const job_id id{name};
   switch (request.action) {
@@ -64,179 +64,110 @@
   }
 }
 
+job_node::found_job job_node::find(const job_id& id) {
+  for (auto& shard : shards_) {
+    if (const auto* known = shard->table().find(id)) return {.shard = shard.get(), .record = known};
+  }
+  return {};
+}
+
+bool job_node::journals_are_read() const {
+  return std::all_of(shards_.begin(), shards_.end(),
+                     [](const auto& shard) { return shard->caught_up(); });
+}
+
+bool job_node::journals_are_fresh() const {
+  return std::all_of(shards_.begin(), shards_.end(),
+                     [](const auto& shard) { return shard->is_fresh(); });
+}
+
+std::size_t job_node::pending(const queue_id& queue) const {
+  std::size_t sum = 0;
+  for (const auto& shard : shards_) sum += shard->table().pending(queue);
+  return sum;
+}
+
 void job_node::submit(const caller_request& request, const queue_config& queue, const job_id& id) {
   if (!request.spec) {
-    return answer(request.call,
-                  {.verdict = caller_verdict::malformed, .detail = request.spec.error()});
+    return context_.answer(request.call,
+                           {.verdict = caller_verdict::malformed, .detail = request.spec.error()});
   }
   if (const auto fault = fault_of(*request.spec)) {
-    return answer(request.call, {.verdict = caller_verdict::malformed, .detail = *fault});
+    return context_.answer(request.call, {.verdict = caller_verdict::malformed, .detail = *fault});
   }
-  if (table_.find(id) != nullptr) {
-    return answer(request.call, {.verdict = caller_verdict::accepted});
+  if (find(id).shard != nullptr) {
+    return context_.answer(request.call, {.verdict = caller_verdict::accepted});
   }
-  append_for_caller(request, acceptance_record(accepted_from(request, queue, id, wall_)),
-                    caller_verdict::accepted);
+  const auto number = layout().shard_of_job(id, *request.spec);
+  shards_.at(number)->append_for_caller(
+      request, acceptance_record(accepted_from(request, queue, id, context_.wall)),
+      caller_verdict::accepted);
 }
 
 void job_node::cancel(const caller_request& request, const job_id& id) {
-  const auto* known = table_.find(id);
-  if (known == nullptr) {
-    if (!journal_is_fresh()) {
-      return answer(request.call,
-                    {.verdict = caller_verdict::gone_wrong, .retry_after = options_.retry_after});
-    }
-    return answer(request.call, {.verdict = caller_verdict::no_such_job});
+  const auto found = find(id);
+  if (found.shard == nullptr) {
+    const auto verdict =
+        journals_are_fresh() ? caller_verdict::no_such_job : caller_verdict::gone_wrong;
+    return context_.answer(request.call,
+                           {.verdict = verdict, .retry_after = context_.options.retry_after});
   }
-  if (known->ended() || known->cancel_requested) {
-    return answer(request.call, {.verdict = caller_verdict::cancelled});
+  if (found.record->ended() || found.record->cancel_requested) {
+    return context_.answer(request.call, {.verdict = caller_verdict::cancelled});
   }
-  append_for_caller(request, cancellation_record(id), caller_verdict::cancelled);
+  found.shard->append_for_caller(request, cancellation_record(id), caller_verdict::cancelled);
 }
 
 void job_node::query(const caller_request& request, const job_id& id) {
-  const auto* known = table_.find(id);
-  const bool final_state = known != nullptr && (known->ended() || known->cancel_requested);
-  const bool ask = !owner_ && !final_state && claim_.fence != 0 && !claim_.resigned &&
-                   claim_.node != options_.node;
-  if (!ask) return answer_state(request.call, id);
-  const auto call = new_call();
+  auto found = find(id);
+  const bool final_state =
+      found.record != nullptr && (found.record->ended() || found.record->cancel_requested);
+  // An unknown job can be asked for at its owner only if it is known which shard it belongs to.
+  auto* shard =
+      found.shard != nullptr ? found.shard : shards_.at(layout().shard_of_job(id, {})).get();
+  if (final_state || !shard->has_other_owner()) return answer_state(request.call, id);
+  const auto call = context_.new_call();
   peer_queries_.emplace(call, peer_query{.caller = request.call, .job = id});
-  push(ask_peer{.call = call,
-                .address = claim_.peer_address,
-                .request = job_query{.job = id.value},
-                .timeout = options_.peer_timeout});
+  context_.push(ask_peer{.call = call,
+                         .address = shard->claim().peer_address,
+                         .request = job_query{.shard = shard->number(), .job = id.value},
+                         .timeout = context_.options.peer_timeout});
 }
 
 void job_node::answer_state(call_id call, const job_id& id) {
-  const auto* known = table_.find(id);
-  if (known != nullptr) {
-    return answer(call, {.verdict = caller_verdict::state,
-                         .state = owner_ ? owner_->visible_state(*known) : state_of(*known)});
-  }
-  if (journal_is_fresh()) return answer(call, {.verdict = caller_verdict::no_such_job});
-  answer(call, {.verdict = caller_verdict::gone_wrong,
-                .retry_after = options_.retry_after,
-                .detail = "the journal can't be read"});
-}
-
-bool job_node::journal_is_fresh() const {
-  return jobs_.caught_up() && jobs_.last_success() && now_ - *jobs_.last_success() < options_.fresh;
-}
-
-void job_node::answer(call_id call, caller_answer answer) {
-  ++stats_.answers[answer.verdict];
-  open_calls_.erase(call);
-  push(answer_caller_call{.call = call, .answer = std::move(answer)});
-}
-
-// --- Appends for callers ---
-
-void job_node::append_for_caller(const caller_request& request, keyed_record record,
-                                 caller_verdict verdict) {
-  auto& entry = caller_appends_[record.key];
-  const auto deadline = now_ + std::max(request.time_left - answer_margin, duration{0});
-  if (entry.calls.empty()) {
-    entry.record = std::move(record);
-    entry.verdict = verdict;
-    entry.arrived = now_;
-    entry.give_up = deadline;
-  }
-  entry.give_up = std::min(entry.give_up, deadline);
-  entry.calls.push_back(request.call);
-}
-
-void job_node::send_caller_appends() {
-  if (caller_append_call_ != 0 || caller_appends_.empty() || now_ < next_caller_append_) return;
-  std::vector<keyed_record> records;
-  for (const auto& [key, entry] : caller_appends_) {
-    records.push_back(entry.record);
-    caller_batch_.insert(key);
-  }
-  caller_append_call_ = new_call();
-  ++stats_.appends;
-  push(append_to_jobs{.call = caller_append_call_,
-                      .records = std::move(records),
-                      .timeout = options_.append_timeout});
-}
-
-void job_node::on_caller_append_ended(append_verdict verdict) {
-  caller_append_call_ = 0;
-  const auto keys = std::exchange(caller_batch_, {});
-  if (verdict != append_verdict::recorded) {
-    next_caller_append_ = now_ + options_.append_retry;
-    for (const auto& key : keys) {
-      const auto found = caller_appends_.find(key);
-      if (found == caller_appends_.end()) continue;
-      if (verdict != append_verdict::not_recorded) found->second.doubtful = true;
-    }
-    return expire_caller_appends();
+  const auto found = find(id);
+  if (found.record != nullptr) {
+    return context_.answer(
+        call, {.verdict = caller_verdict::state, .state = found.shard->shown_state(*found.record)});
   }
-  for (const auto& key : keys) {
-    const auto found = caller_appends_.find(key);
-    if (found == caller_appends_.end()) continue;
-    const auto entry = std::move(found->second);
-    caller_appends_.erase(found);
-    log(severity::info, fmt::format("event=caller_record key={} outcome=recorded waited_ms={}",
-                                    log_value(entry.record.key), (now_ - entry.arrived).count()));
-    apply_job_record(entry.record);
-    notify_owner(entry.record);
-    for (const auto call : entry.calls) answer(call, {.verdict = entry.verdict});
+  if (journals_are_fresh()) {
+    return context_.answer(call, {.verdict = caller_verdict::no_such_job});
   }
-}
-
-void job_node::expire_caller_appends() {
-  for (auto at = caller_appends_.begin(); at != caller_appends_.end();) {
-    const auto& [key, entry] = *at;
-    const bool under_way = caller_batch_.contains(key);
-    const bool refused = !entry.doubtful && !under_way && caller_append_call_ == 0 &&
-                         now_ - entry.arrived >= options_.submit_patience;
-    const bool out_of_time = now_ >= entry.give_up;
-    if (!refused && !out_of_time) {
-      ++at;
-      continue;
-    }
-    const bool certain = !entry.doubtful && !under_way;
-    const auto verdict = !certain ? caller_verdict::outcome_unknown
-                         : entry.verdict == caller_verdict::accepted ? caller_verdict::unavailable
-                                                                     : caller_verdict::gone_wrong;
-    log(severity::warning,
-        fmt::format("event=caller_record key={} outcome={} waited_ms={}", log_value(key),
-                    name_of(verdict), (now_ - entry.arrived).count()));
-    for (const auto call : entry.calls) {
-      answer(call, {.verdict = verdict,
-                    .retry_after = options_.retry_after,
-                    .detail = "the journal can't be written"});
-    }
-    at = caller_appends_.erase(at);
-  }
-}
-
-void job_node::notify_owner(const keyed_record& record) {
-  if (owner_ || claim_.fence == 0 || claim_.resigned || claim_.node == options_.node) return;
-  push(ask_peer{.call = new_call(),
-                .address = claim_.peer_address,
-                .request = job_notice{.key = record.key, .value = record.value},
-                .timeout = notice_timeout});
+  context_.answer(call, {.verdict = caller_verdict::gone_wrong,
+                         .retry_after = context_.options.retry_after,
+                         .detail = "the journal can't be read"});
 }
 
 // --- Other nodes ---
 
 void job_node::on(const peer_asked& event) {
   if (const auto* notice = std::get_if<job_notice>(&event.request)) {
-    if (owner_) apply_job_record({.key = notice->key, .value = notice->value});
-    return push(answer_peer{.call = event.call, .reply = job_notice_reply{.taken = is_owner()}});
+    const bool known = notice->shard < shards_.size() && shards_[notice->shard]->is_owner();
+    if (known) shards_[notice->shard]->on_notice({.key = notice->key, .value = notice->value});
+    return context_.push(
+        answer_peer{.call = event.call, .reply = job_notice_reply{.taken = known}});
   }
   if (const auto* query = std::get_if<job_query>(&event.request)) {
-    job_query_reply reply{.owner = is_owner()};
-    const auto* known = owner_ ? table_.find(job_id{query->job}) : nullptr;
+    const bool owned = query->shard < shards_.size() && shards_[query->shard]->is_owner();
+    job_query_reply reply{.owner = owned};
+    const auto* known = owned ? shards_[query->shard]->table().find(job_id{query->job}) : nullptr;
     if (known != nullptr) {
       reply.known = true;
-      reply.state = name_of(owner_->visible_state(*known));
+      reply.state = name_of(shards_[query->shard]->shown_state(*known));
     }
-    return push(answer_peer{.call = event.call, .reply = std::move(reply)});
+    return context_.push(answer_peer{.call = event.call, .reply = std::move(reply)});
   }
-  push(refuse_peer{.call = event.call});
+  context_.push(refuse_peer{.call = event.call});
 }
 
 void job_node::on(const peer_answered& event) {
@@ -247,7 +178,7 @@
   const auto* reply = event.result ? std::get_if<job_query_reply>(&*event.result) : nullptr;
   if (reply != nullptr && reply->owner && reply->known) {
     if (const auto state = parse_name<job_state>(reply->state)) {
-      return answer(query.caller, {.verdict = caller_verdict::state, .state = *state});
+      return context_.answer(query.caller, {.verdict = caller_verdict::state, .state = *state});
     }
   }
   answer_state(query.caller, query.job);
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -33,6 +33,24 @@
 
 }  // namespace
 
+job_owner_stats& job_owner_stats::operator+=(const job_owner_stats& other) {
+  starts += other.starts;
+  ends_done += other.ends_done;
+  ends_failed += other.ends_failed;
+  ends_other += other.ends_other;
+  runs_lost += other.runs_lost;
+  rejected += other.rejected;
+  unanswered += other.unanswered;
+  paces += other.paces;
+  completed += other.completed;
+  failed += other.failed;
+  until_recorded.merge(other.until_recorded);
+  until_answered.merge(other.until_answered);
+  until_started.merge(other.until_started);
+  job_age.merge(other.job_age);
+  return *this;
+}
+
 job_owner::job_owner(job_owner_options options, std::uint64_t fence, job_table& table,
                      time_point now, wall_time wall, log_sink log)
     : options_(options),
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -67,6 +67,8 @@
   latency_histogram until_answered;  // of a start order, from sending it
   latency_histogram until_started;   // from a job's acceptance to its first placing
   latency_histogram job_age;         // of completed jobs, from acceptance to the end
+
+  job_owner_stats& operator+=(const job_owner_stats& other);
 };
 
 class job_owner {
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -12,6 +12,7 @@
 constexpr std::string_view cancellation_prefix = "cancellation/";
 constexpr std::string_view progress_prefix = "progress/";
 constexpr std::string_view claim_key = "owner";
+constexpr std::string_view layout_key = "layout";
 
 // Version of the progress encoding.
 constexpr std::uint64_t progress_version = 1;
@@ -164,6 +165,10 @@
   return {.key = std::string{claim_key}, .value = encode_msgpack(claim)};
 }
 
+keyed_record layout_record(const fleet_layout& layout) {
+  return {.key = std::string{layout_key}, .value = encode_msgpack(layout)};
+}
+
 std::vector<keyed_record> removal_records(const job_id& id) {
   return {{.key = std::string{progress_prefix} + id.value},
           {.key = std::string{cancellation_prefix} + id.value},
@@ -171,15 +176,23 @@
 }
 
 tl::expected<applied_record, record_error> apply_record(const keyed_record& record,
-                                                        job_table& table, owner_claim& claim,
+                                                        journal_state& state,
                                                         const apply_options& options) {
+  auto& table = state.table;
   if (record.key == claim_key) {
     auto decoded = decode_msgpack<owner_claim>(record.value);
     if (!decoded) return tl::unexpected(record_error{decoded.error().message});
     // Pages of a listing can be newer than the records that are read after them.
-    if (decoded->fence >= claim.fence) claim = std::move(*decoded);
+    if (decoded->fence >= state.claim.fence) state.claim = std::move(*decoded);
     return applied_record{.kind = record_kind::claim};
   }
+  if (record.key == layout_key) {
+    auto decoded = decode_msgpack<fleet_layout>(record.value);
+    if (!decoded) return tl::unexpected(record_error{decoded.error().message});
+    // Racks are only ever added.
+    if (decoded->racks.size() >= state.layout.racks.size()) state.layout = std::move(*decoded);
+    return applied_record{.kind = record_kind::layout};
+  }
   if (const auto id = job_of(record.key, acceptance_prefix)) {
     if (record.value.empty()) {
       table.forget(*id);
--- a/coltsfoot/jobs/job_record.h
+++ b/coltsfoot/jobs/job_record.h
@@ -4,6 +4,7 @@
 //   cancellation/<job>  written by the node that took the cancellation
 //   progress/<job>      written by the owner only, the whole progress each time
 //   owner               the newest claim of the ownership
+//   layout              how the fleet is divided; in the journal of the first shard
 //
 //   apply_record(record, table, claim);
 #pragma once
@@ -13,6 +14,7 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
+#include "coltsfoot/jobs/fleet_layout.h"
 #include "coltsfoot/jobs/job_table.h"
 
 namespace coltsfoot::jobs {
@@ -27,12 +29,13 @@
 struct owner_claim {
   std::uint64_t fence = 0;  // grows with each claim; 0: nobody has claimed yet
   std::string node;
-  std::uint64_t life = 0;    // tells the lives of a node apart
-  std::string peer_address;  // "ip:port" of the peer transport
-  bool resigned = false;     // the owner has stopped; anybody may claim at once
+  std::uint64_t life = 0;      // tells the lives of a node apart
+  std::string peer_address;    // "ip:port" of the peer transport
+  bool resigned = false;       // the owner has stopped; anybody may claim at once
+  std::uint32_t strength = 0;  // processor of the node, in thousandths of a core; 0: not told
   friend bool operator==(const owner_claim&, const owner_claim&) = default;
 };
-COLTSFOOT_CODEC(owner_claim, fence, node, life, peer_address, resigned)
+COLTSFOOT_CODEC(owner_claim, fence, node, life, peer_address, resigned, strength)
 
 struct record_error {
   std::string message;
@@ -42,13 +45,14 @@
 keyed_record cancellation_record(const job_id& id);
 keyed_record progress_record(const job& j);
 keyed_record claim_record(const owner_claim& claim);
+keyed_record layout_record(const fleet_layout& layout);
 
 // Records that drop all that the journal holds of a job.
 std::vector<keyed_record> removal_records(const job_id& id);
 
-enum class record_kind { acceptance, cancellation, progress, claim };
+enum class record_kind { acceptance, cancellation, progress, claim, layout };
 
-// What a record changed. `job` is empty for a claim.
+// What a record changed. `job` is empty for a claim and for a layout.
 struct applied_record {
   record_kind kind = record_kind::acceptance;
   job_id job;
@@ -58,9 +62,16 @@
   bool take_progress = true;  // false for the owner, whose own state is newer
 };
 
-// Applies a record to `table` or `claim`. A record that can't be read changes nothing.
+// What the journal of a shard says.
+struct journal_state {
+  job_table table;
+  owner_claim claim;    // the newest
+  fleet_layout layout;  // of the first shard's journal
+};
+
+// Applies a record to `state`. A record that can't be read changes nothing.
 tl::expected<applied_record, record_error> apply_record(const keyed_record& record,
-                                                        job_table& table, owner_claim& claim,
+                                                        journal_state& state,
                                                         const apply_options& options);
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_record_test.cc
+++ b/coltsfoot/jobs/job_record_test.cc
@@ -16,12 +16,10 @@
           .spec = {.payload = "p", .steps = {{.count = 3}, {.count = 2, .depends_on = {0}}}}};
 }
 
-struct journal_copy {
-  job_table table;
-  owner_claim claim;
+struct journal_copy : journal_state {
   tl::expected<applied_record, record_error> apply(const keyed_record& record,
                                                    bool take_progress = true) {
-    return apply_record(record, table, claim, {.take_progress = take_progress});
+    return apply_record(record, *this, {.take_progress = take_progress});
   }
 };
 
--- /dev/null
+++ b/coltsfoot/jobs/job_shard.h
@@ -0,0 +1,139 @@
+// One shard of the fleet's jobs at one node: a copy that follows the shard's journal, the records
+// that this node appends for callers, and the owner of the shard's jobs while the node's claim is
+// the newest.
+//
+//   job_shard shard{context, first_shard};
+//   shard.append_for_caller(request, acceptance_record(job), caller_verdict::accepted);
+//   shard.proceed();  // after each batch of events
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coltsfoot/jobs/job_owner.h"
+#include "coltsfoot/jobs/job_record.h"
+#include "coltsfoot/jobs/node_context.h"
+
+namespace coltsfoot::jobs {
+
+class job_shard {
+ public:
+  // `context` must outlive the shard.
+  job_shard(node_context& context, shard_number number);
+
+  // --- Events ---
+  void on_append_ended(const append_ended& event);
+  void on_read(topic_read event);
+  void on_notice(const keyed_record& record);
+  void on_tick();
+  // Gives the owner the workers of this shard.
+  void on_listing(const worker_listing& listing);
+  void on_listings(const std::vector<worker_listing>& listings);
+  void on_unlisted(const worker_id& worker);
+  void on_pause();
+
+  // Claims, writes, orders and reads what is due.
+  void proceed();
+
+  // --- Callers ---
+  // Appends a record for a caller, who is told `verdict` once it is recorded.
+  void append_for_caller(const caller_request& request, keyed_record record,
+                         caller_verdict verdict);
+
+  // --- State ---
+  shard_number number() const { return number_; }
+  const job_table& table() const { return state_.table; }
+  const owner_claim& claim() const { return state_.claim; }
+  const fleet_layout& layout() const { return state_.layout; }
+  job_owner* owner() { return owner_ ? &*owner_ : nullptr; }
+  const job_owner* owner() const { return owner_ ? &*owner_ : nullptr; }
+  bool is_owner() const { return owner_.has_value(); }
+  bool is_claiming() const { return claim_call_ != 0 || pending_claim_.has_value(); }
+  bool caught_up() const { return journal_.caught_up(); }
+  // Whether the copy is new enough to prove that a job is not there.
+  bool is_fresh() const;
+  // Whether another node owns the shard, as far as is known.
+  bool has_other_owner() const;
+  // What callers are shown of a job.
+  job_state shown_state(const job& j) const;
+
+  // Number of shards that the owner of this one owns, for the election.
+  void set_owner_load(std::size_t shards) { owner_load_ = shards; }
+  // Spaces out calls to the store by the number of shards in the fleet.
+  void set_shard_count(std::size_t shards);
+  // Records a layout, once; only at the owner of the first shard.
+  void record_layout(const fleet_layout& layout);
+
+ private:
+  // A record that this node appends for callers, and who waits for it.
+  struct caller_append {
+    keyed_record record;
+    std::vector<call_id> calls;
+    caller_verdict verdict = caller_verdict::accepted;  // once recorded
+    time_point arrived{};
+    time_point give_up{};   // the earliest deadline of the callers
+    bool doubtful = false;  // an append of it may have been recorded
+  };
+
+  // Callers' records.
+  void refuse(call_id call, caller_verdict verdict);
+  void send_caller_appends();
+  void on_caller_append_ended(append_verdict verdict);
+  void expire_caller_appends();
+  void notify_owner(const keyed_record& record);
+
+  // Journal.
+  void read_journal();
+  void apply(const topic_change& change);
+  void apply(const keyed_record& record);
+  void on_claim_read(std::uint64_t former_fence);
+
+  // Ownership.
+  void claim_if_due();
+  void on_claim_ended(append_verdict verdict);
+  void become_owner();
+  void step_down(std::string_view reason);
+  void run_owner();
+  void write_owner_batch();
+  bool take_owner_batch();
+  void on_owner_append_ended(append_verdict verdict);
+
+  void log(severity level, const std::string& text) const;
+
+  node_context& context_;
+  shard_number number_;
+  journal_state state_;
+  topic_follower journal_;
+  time_point owner_seen_;     // when a record of the owner was read
+  time_point claim_read_at_;  // when the newest claim was read
+  std::size_t owner_load_ = 1;
+
+  std::map<std::string, caller_append> caller_appends_;  // by key
+  std::set<std::string> caller_batch_;                   // keys in the append under way
+  call_id caller_append_call_ = 0;                       // 0: none is under way
+  time_point next_caller_append_{};
+
+  std::optional<owner_claim> pending_claim_;
+  call_id claim_call_ = 0;
+  std::uint64_t claim_sequence_ = 0;  // number of the claim under way
+  time_point next_claim_{};
+  time_point claim_seen_by_{};  // until then, a recorded claim is expected in the journal
+
+  std::optional<job_owner> owner_;
+  std::uint64_t owner_sequence_ = 0;  // number of the next append of the owner
+  std::vector<keyed_record> owner_batch_;
+  call_id owner_append_call_ = 0;
+  bool owner_batch_open_ = false;  // taken, and not known as recorded
+  time_point next_owner_append_{};
+  duration append_gap_{0};
+  time_point last_owner_record_{};
+  std::optional<fleet_layout> layout_to_record_;
+  fleet_layout layout_sent_;
+  bool resign_sent_ = false;
+};
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -0,0 +1,129 @@
+// The part of a shard that records what callers ask for.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "coltsfoot/base/log_text.h"
+#include "coltsfoot/jobs/job_shard.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+// How long a node waits for the owner to take a notice. A notice that is lost is read in the
+// journal.
+constexpr duration notice_timeout{500};
+
+// Time kept back from a caller's deadline for the answer's way.
+constexpr duration answer_margin{100};
+
+}  // namespace
+
+// Tells a caller that a record was certainly not made. `verdict` is what it would have been told.
+void job_shard::refuse(call_id call, caller_verdict verdict) {
+  const bool submission = verdict == caller_verdict::accepted;
+  context_.answer(call,
+                  {.verdict = submission ? caller_verdict::unavailable : caller_verdict::gone_wrong,
+                   .retry_after = context_.options.retry_after,
+                   .detail = "the journal can't be written"});
+}
+
+void job_shard::append_for_caller(const caller_request& request, keyed_record record,
+                                  caller_verdict verdict) {
+  // Without an answer to the newest read, the store is away: the caller can come back later.
+  if (!journal_.healthy_since()) return refuse(request.call, verdict);
+  auto& entry = caller_appends_[record.key];
+  const auto deadline = context_.now + std::max(request.time_left - answer_margin, duration{0});
+  if (entry.calls.empty()) {
+    entry.record = std::move(record);
+    entry.verdict = verdict;
+    entry.arrived = context_.now;
+    entry.give_up = deadline;
+  }
+  entry.give_up = std::min(entry.give_up, deadline);
+  entry.calls.push_back(request.call);
+}
+
+void job_shard::send_caller_appends() {
+  if (caller_append_call_ != 0 || caller_appends_.empty() || context_.now < next_caller_append_)
+    return;
+  std::vector<keyed_record> records;
+  for (const auto& [key, entry] : caller_appends_) {
+    records.push_back(entry.record);
+    caller_batch_.insert(key);
+  }
+  caller_append_call_ = context_.new_call();
+  ++context_.stats.appends;
+  context_.push(append_to_jobs{.call = caller_append_call_,
+                               .shard = number_,
+                               .records = std::move(records),
+                               .timeout = context_.options.append_timeout});
+}
+
+void job_shard::on_caller_append_ended(append_verdict verdict) {
+  caller_append_call_ = 0;
+  const auto keys = std::exchange(caller_batch_, {});
+  if (verdict != append_verdict::recorded) {
+    next_caller_append_ = context_.now + context_.options.append_retry;
+    for (const auto& key : keys) {
+      const auto found = caller_appends_.find(key);
+      if (found == caller_appends_.end()) continue;
+      if (verdict != append_verdict::not_recorded) found->second.doubtful = true;
+    }
+    return expire_caller_appends();
+  }
+  for (const auto& key : keys) {
+    const auto found = caller_appends_.find(key);
+    if (found == caller_appends_.end()) continue;
+    const auto entry = std::move(found->second);
+    caller_appends_.erase(found);
+    log(severity::info,
+        fmt::format("event=caller_record key={} outcome=recorded waited_ms={}",
+                    log_value(entry.record.key), (context_.now - entry.arrived).count()));
+    apply(entry.record);
+    notify_owner(entry.record);
+    for (const auto call : entry.calls) context_.answer(call, {.verdict = entry.verdict});
+  }
+}
+
+void job_shard::expire_caller_appends() {
+  for (auto at = caller_appends_.begin(); at != caller_appends_.end();) {
+    const auto& [key, entry] = *at;
+    const bool under_way = caller_batch_.contains(key);
+    const bool refused = !entry.doubtful && !under_way && caller_append_call_ == 0 &&
+                         context_.now - entry.arrived >= context_.options.submit_patience;
+    const bool out_of_time = context_.now >= entry.give_up;
+    if (!refused && !out_of_time) {
+      ++at;
+      continue;
+    }
+    const bool certain = !entry.doubtful && !under_way;
+    const auto verdict = !certain ? caller_verdict::outcome_unknown
+                         : entry.verdict == caller_verdict::accepted ? caller_verdict::unavailable
+                                                                     : caller_verdict::gone_wrong;
+    log(severity::warning,
+        fmt::format("event=caller_record key={} outcome={} waited_ms={}", log_value(key),
+                    name_of(verdict), (context_.now - entry.arrived).count()));
+    for (const auto call : entry.calls) {
+      if (certain) {
+        refuse(call, entry.verdict);
+      } else {
+        context_.answer(call, {.verdict = verdict,
+                               .retry_after = context_.options.retry_after,
+                               .detail = "the journal did not answer"});
+      }
+    }
+    at = caller_appends_.erase(at);
+  }
+}
+
+void job_shard::notify_owner(const keyed_record& record) {
+  if (!has_other_owner()) return;
+  context_.push(
+      ask_peer{.call = context_.new_call(),
+               .address = state_.claim.peer_address,
+               .request = job_notice{.shard = number_, .key = record.key, .value = record.value},
+               .timeout = notice_timeout});
+}
+
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/node_messages.h
+++ b/coltsfoot/jobs/node_messages.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "coltsfoot/jobs/fleet_layout.h"
 #include "coltsfoot/jobs/job.h"
 #include "coltsfoot/jobs/job_record.h"
 #include "coltsfoot/jobs/topic_follower.h"
@@ -83,6 +84,7 @@
 struct topic_read {
   call_id call = 0;
   store_topic topic = store_topic::jobs;
+  shard_number shard = first_shard;
   std::variant<list_page, tail_page, read_failed> page;
 };
 struct start_answered {
@@ -128,6 +130,7 @@
 };
 struct append_to_jobs {  // result: append_ended
   call_id call = 0;
+  shard_number shard = first_shard;
   std::vector<keyed_record> records;
   std::optional<append_sequence> sequence;
   duration timeout{0};
@@ -135,6 +138,7 @@
 struct read_topic {  // result: topic_read
   call_id call = 0;
   store_topic topic = store_topic::jobs;
+  shard_number shard = first_shard;  // of the jobs; the other topics are not divided
   follow_request request;
 };
 struct give_order {  // result: start_answered, stop_answered, pace_answered or look_answered
--- a/coltsfoot/jobs/topic_follower.cc
+++ b/coltsfoot/jobs/topic_follower.cc
@@ -9,7 +9,7 @@
   if (reading_ || now < due_) return std::nullopt;
   reading_ = true;
   due_ = now + options_.poll_interval;
-  if (!listed_) return list_request{.after = list_after_};
+  if (!listed_) return list_request{.after = list_after_, .patience = list_patience_};
   const auto wait = caught_up_ ? options_.poll_wait : duration{0};
   return tail_request{.from = position_, .wait = wait};
 }
@@ -52,6 +52,7 @@
   stale_ = false;
   reading_ = false;
   healthy_since_.reset();
+  list_patience_ = std::min(list_patience_ * 2, options_.longest_list_patience);
   backoff_ = std::clamp(backoff_ * 2, options_.first_backoff, options_.longest_backoff);
   due_ = now + backoff_;
 }
@@ -76,6 +77,7 @@
 void topic_follower::succeeded(time_point now) {
   reading_ = false;
   backoff_ = duration{0};
+  list_patience_ = options_.first_list_patience;
   last_success_ = now;
   if (!healthy_since_) healthy_since_ = now;
 }
--- a/coltsfoot/jobs/topic_follower.h
+++ b/coltsfoot/jobs/topic_follower.h
@@ -23,11 +23,16 @@
   duration poll_wait{500};      // how long the store may hold back an empty answer
   duration first_backoff{50};   // after a failed read; doubles with each further one
   duration longest_backoff{400};
+  // A page of a listing is large: on a slow link, or while many nodes list at once, it takes longer
+  // than an answer that is lost should be waited for. Doubles with each failed page.
+  duration first_list_patience{1'000};
+  duration longest_list_patience{4'000};
 };
 
 // Reads the newest records of all keys above `after`.
 struct list_request {
   std::string after;
+  duration patience{0};  // how long the answer may take
 };
 // Reads records from an offset on.
 struct tail_request {
@@ -55,7 +60,8 @@
 
 class topic_follower {
  public:
-  explicit topic_follower(topic_follower_options options) : options_(options) {}
+  explicit topic_follower(topic_follower_options options)
+      : options_(options), list_patience_(options.first_list_patience) {}
 
   // Returns the next read to send, or nothing if one is under way or none is due.
   std::optional<follow_request> next_request(time_point now);
@@ -66,6 +72,9 @@
   void on_history_gone(time_point now);
   void on_failure(time_point now);
 
+  // Changes the least time between the starts of two reads.
+  void set_poll_interval(duration interval) { options_.poll_interval = interval; }
+
   // Makes the next read due at once.
   void hurry() { due_ = {}; }
   // Begins with a listing again, for instance after a time without reading.
@@ -96,6 +105,7 @@
   log_offset position_ = 0;
   time_point due_{};
   duration backoff_{0};
+  duration list_patience_;
   std::optional<time_point> last_success_;
   std::optional<time_point> healthy_since_;
 };
--- a/coltsfoot/jobs/topic_follower_test.cc
+++ b/coltsfoot/jobs/topic_follower_test.cc
@@ -79,5 +79,24 @@
   EXPECT_TRUE(follower.next_request(start + duration{80}));
 }
 
+TEST(topic_follower_test, a_listing_that_fails_may_take_longer_the_next_time) {
+  topic_follower follower{{}};
+  time_point now{duration{100'000}};
+  const auto patience = [&] {
+    now += duration{1'000};
+    const auto request = follower.next_request(now);
+    return std::get<list_request>(*request).patience;
+  };
+  const auto first = patience();
+  follower.on_failure(now);
+  EXPECT_EQ(patience(), first * 2);
+  for (int i = 0; i < 4; ++i) {
+    follower.on_failure(now);
+    EXPECT_LE(patience(), duration{4'000});
+  }
+  follower.on_page(list_page{.records = {{.key = "a", .value = "1"}}, .more = true}, now);
+  EXPECT_EQ(patience(), first);
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/model/peer_messages.h
+++ b/coltsfoot/model/peer_messages.h
@@ -290,10 +290,11 @@
 // A record that the sender has appended to the journal of jobs.
 struct job_notice {
   static constexpr std::string_view message_name = "job_notice";
+  std::uint32_t shard = 0;
   std::string key;
   std::string value;
 };
-COLTSFOOT_CODEC(job_notice, key, value)
+COLTSFOOT_CODEC(job_notice, shard, key, value)
 
 struct job_notice_reply {
   static constexpr std::string_view message_name = "job_notice_reply";
@@ -303,9 +304,10 @@
 
 struct job_query {
   static constexpr std::string_view message_name = "job_query";
+  std::uint32_t shard = 0;
   std::string job;
 };
-COLTSFOOT_CODEC(job_query, job)
+COLTSFOOT_CODEC(job_query, shard, job)
 
 struct job_query_reply {
   static constexpr std::string_view message_name = "job_query_reply";
--- a/tests/jobs/fake_store.cc
+++ b/tests/jobs/fake_store.cc
@@ -14,17 +14,17 @@
 }
 
 append_verdict fake_store::append(const jobs::append_to_jobs& command) {
-  auto& t = topics_[jobs::store_topic::jobs];
+  auto& t = topics_[{jobs::store_topic::jobs, command.shard}];
+  auto& writer = writers_[command.shard];
   if (const auto& sequence = command.sequence) {
-    if (sequence->fence < fence_) return append_verdict::fenced;
-    if (sequence->fence == fence_) {
-      if (sequence->number == last_number_) return append_verdict::recorded;  // a repetition
-      if (sequence->number != last_number_ + 1) return append_verdict::fenced;
+    if (sequence->fence < writer.fence) return append_verdict::fenced;
+    if (sequence->fence == writer.fence) {
+      if (sequence->number == writer.last_number) return append_verdict::recorded;  // a repetition
+      if (sequence->number != writer.last_number + 1) return append_verdict::fenced;
     }
   }
   if (command.sequence) {
-    fence_ = command.sequence->fence;
-    last_number_ = command.sequence->number;
+    writer = {.fence = command.sequence->fence, .last_number = command.sequence->number};
   }
   for (const auto& record : command.records) add(t, record);
   ++appends_;
@@ -32,12 +32,12 @@
 }
 
 void fake_store::put(jobs::store_topic topic, const std::string& key, const std::string& value) {
-  add(topics_[topic], {.key = key, .value = value});
+  add(topics_[{topic, jobs::first_shard}], {.key = key, .value = value});
 }
 
 bool fake_store::has_news(const jobs::read_topic& command) const {
   const auto* tail = std::get_if<jobs::tail_request>(&command.request);
-  const auto found = topics_.find(command.topic);
+  const auto found = topics_.find({command.topic, command.shard});
   if (tail == nullptr) return true;
   return found != topics_.end() && found->second.end() > tail->from;
 }
@@ -45,7 +45,7 @@
 std::variant<jobs::list_page, jobs::tail_page, jobs::read_failed> fake_store::read(
     const jobs::read_topic& command) const {
   static const topic empty;
-  const auto found = topics_.find(command.topic);
+  const auto found = topics_.find({command.topic, command.shard});
   const auto& t = found == topics_.end() ? empty : found->second;
   if (std::holds_alternative<jobs::list_request>(command.request)) {
     jobs::list_page page{.end = t.end()};
--- a/tests/jobs/fake_store.h
+++ b/tests/jobs/fake_store.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coltsfoot/jobs/node_messages.h"
@@ -36,9 +37,14 @@
   };
   static void add(topic& t, const jobs::keyed_record& record);
 
-  std::map<jobs::store_topic, topic> topics_;
-  std::uint64_t fence_ = 0;
-  std::uint64_t last_number_ = 0;
+  struct writer {
+    std::uint64_t fence = 0;
+    std::uint64_t last_number = 0;
+  };
+  using partition = std::pair<jobs::store_topic, jobs::shard_number>;
+
+  std::map<partition, topic> topics_;
+  std::map<jobs::shard_number, writer> writers_;
   std::size_t appends_ = 0;
 };
 
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -28,7 +28,7 @@
 
 // Waits until one node owns the jobs and knows the workers.
 void settle(virtual_fleet& fleet) {
-  ASSERT_TRUE(fleet.run_until([&] { return fleet.owner() >= 0; }, duration{5'000}));
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{8'000}));
   fleet.run_for(duration{500});
 }
 
@@ -304,5 +304,68 @@
   }
 }
 
+// Sixteen workers in racks of two, four workers a shard.
+fleet_options four_shards(std::uint64_t seed) {
+  return {.nodes = 6, .workers = 16, .seed = seed, .workers_per_shard = 4};
+}
+
+TEST(job_fleet_test, a_large_fleet_has_several_shards_with_owners_of_their_own) {
+  virtual_fleet fleet{four_shards(1)};
+  settle(fleet);
+  int owners = 0;
+  for (int node = 0; node < 6; ++node) owners += fleet.node(node).owned_shards() > 0 ? 1 : 0;
+  EXPECT_EQ(fleet.node(0).shards().size(), 4U);
+  EXPECT_GE(owners, 3) << "a node that owns a shard leaves the next one to others";
+  for (int i = 0; i < 40; ++i) fleet.submit(i % 6, "j" + std::to_string(i), two_steps(3));
+  for (int i = 0; i < 40; ++i) {
+    EXPECT_TRUE(
+        fleet.reaches((i + 1) % 6, "j" + std::to_string(i), job_state::completed, duration{10'000}))
+        << i;
+  }
+  EXPECT_EQ(fleet.starts(), 240U);
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
+TEST(job_fleet_test, the_death_of_one_owner_leaves_the_other_shards_alone) {
+  virtual_fleet fleet{four_shards(2)};
+  settle(fleet);
+  for (int i = 0; i < 24; ++i) fleet.submit(i % 6, "j" + std::to_string(i), two_steps(2));
+  fleet.run_for(duration{200});
+  int killed = 0;
+  while (fleet.node(killed).owned_shards() == 0) ++killed;
+  fleet.kill_node(killed);
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{4'000}));
+  const int asked = (killed + 1) % 6;
+  for (int i = 0; i < 24; ++i) {
+    EXPECT_TRUE(
+        fleet.reaches(asked, "j" + std::to_string(i), job_state::completed, duration{10'000}))
+        << i;
+  }
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
+TEST(job_fleet_test, the_layout_outlives_the_death_of_all_nodes) {
+  virtual_fleet fleet{four_shards(3)};
+  settle(fleet);
+  const auto before = fleet.node(0).shards().front()->layout();
+  for (int node = 0; node < 6; ++node) fleet.kill_node(node);
+  fleet.compact_store();
+  fleet.run_for(duration{1'000});
+  for (int node = 0; node < 6; ++node) fleet.start_node(node);
+  settle(fleet);
+  EXPECT_EQ(fleet.node(0).shards().front()->layout(), before);
+}
+
+TEST(job_fleet_test, strong_nodes_own_the_shards) {
+  auto options = four_shards(4);
+  options.strengths = {120, 120, 500, 500, 500, 500};
+  virtual_fleet fleet{options};
+  settle(fleet);
+  fleet.run_for(duration{20'000});
+  EXPECT_TRUE(fleet.is_settled());
+  EXPECT_EQ(fleet.node(0).owned_shards() + fleet.node(1).owned_shards(), 0U);
+  for (int node = 2; node < 6; ++node) EXPECT_EQ(fleet.node(node).owned_shards(), 1U) << node;
+}
+
 }  // namespace
 }  // namespace coltsfoot::testing
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -52,6 +52,12 @@
           .config_key = "config"};
 }
 
+std::uint32_t strength_of(const fleet_options& options, int node) {
+  const auto& strengths = options.strengths;
+  if (strengths.empty()) return 0;
+  return strengths[std::min(static_cast<std::size_t>(node), strengths.size() - 1)];
+}
+
 }  // namespace
 
 virtual_fleet::virtual_fleet(fleet_options options) : options_(options), random_(options.seed) {
@@ -104,8 +110,10 @@
   };
   jobs::job_node_options options{.node = "n" + std::to_string(node),
                                  .life = state.life,
+                                 .strength = strength_of(options_, node),
                                  .peer_address = std::to_string(node),
-                                 .codec = codec_for(options_)};
+                                 .codec = codec_for(options_),
+                                 .layout = {.workers_per_shard = options_.workers_per_shard}};
   state.core = std::make_unique<jobs::job_node>(std::move(options), now_, log);
   tick(node, state.life);
 }
@@ -160,13 +168,29 @@
 int virtual_fleet::owner() const {
   int found = -1;
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (!nodes_[i].core || !nodes_[i].core->is_owner()) continue;
+    if (!nodes_[i].core || nodes_[i].core->owned_shards() == 0) continue;
     if (found >= 0) return -1;
     found = static_cast<int>(i);
   }
   return found;
 }
 
+bool virtual_fleet::is_settled() const {
+  std::map<jobs::shard_number, int> owners;
+  std::size_t shards = 0;
+  for (const auto& node : nodes_) {
+    if (!node.core || node.frozen) continue;
+    if (!node.core->shards().front()->layout().decided()) return false;
+    shards = node.core->shards().front()->layout().shards;
+    for (const auto& shard : node.core->shards()) {
+      if (shard->is_owner()) ++owners[shard->number()];
+    }
+  }
+  return owners.size() == shards &&
+         std::all_of(owners.begin(), owners.end(),
+                     [](const auto& entry) { return entry.second == 1; });
+}
+
 // --- Workers ---
 
 void virtual_fleet::list_worker(int worker, bool draining) {
@@ -330,7 +354,7 @@
 }
 
 void virtual_fleet::read_when_due(int node, const jobs::read_topic& c, time_point until) {
-  jobs::topic_read event{.call = c.call, .topic = c.topic};
+  jobs::topic_read event{.call = c.call, .topic = c.topic, .shard = c.shard};
   if (store_down_ || nodes_.at(static_cast<std::size_t>(node)).store_cut) {
     event.page = jobs::read_failed{};
     return deliver_after(node, duration{50}, std::move(event));
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -31,6 +31,8 @@
   double lost_append_answers = 0;  // share of appends that are done and not answered
   double failing_tasks = 0;        // share of runs that end failed
   std::uint32_t max_attempts = 3;
+  std::size_t workers_per_shard = 128;
+  std::vector<std::uint32_t> strengths;  // of the nodes; the last counts for those after it
 };
 
 class virtual_fleet {
@@ -50,6 +52,7 @@
 
   // --- Troubles ---
   void kill_node(int node);
+  bool runs(int node) const { return nodes_.at(static_cast<std::size_t>(node)).core != nullptr; }
   void start_node(int node);
   void freeze_node(int node, bool frozen);
   void cut_store(int node, bool cut);
@@ -62,6 +65,8 @@
 
   // Number of the owner, or -1 if there is none or several nodes believe to be it.
   int owner() const;
+  // Whether each shard has exactly one owner, and the layout is known to all nodes that run.
+  bool is_settled() const;
   time_point now() const { return now_; }
   const std::set<std::string>& broken() const { return broken_; }
   std::size_t starts() const { return starts_; }
