--- a/coltsfoot/jobs/interference_model.h
+++ b/coltsfoot/jobs/interference_model.h
@@ -21,6 +21,7 @@
   double first_weight = 3;  // of a pair that was never seen: neither harmless nor forbidden
   double most_weight = 30;
   double learning_rate = 0.1;   // once a pair is known
+  double seen_reports = 3;      // from which on a pair tells something of its filling image
   double settled_reports = 30;  // a pair is learned faster until it was seen this often
   double first_base = 2.5;      // headroom without filling tasks
   double base_rate = 0.02;
@@ -46,8 +47,12 @@
     double reports = 0;
   };
 
+  // Weight of a pair that was not seen: what the filling image does to other images.
+  double expected_weight(const std::string& fill) const;
+
   interference_options options_;
-  std::map<image_pair, pair_weight> weights_;
+  std::map<image_pair, pair_weight> weights_;                   // serving image, filling image
+  std::map<std::string, std::map<std::string, double>> known_;  // of seen pairs, by filling image
   std::map<std::string, double> bases_;
 };
 
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 void job_node::on(const caller_request& request) {
-  context_.open_calls.insert(request.call);
+  context_.open_calls.emplace(request.call, request.path);
   if (!config_ || !layout().decided()) {
     return context_.answer(request.call, {.verdict = caller_verdict::unavailable,
                                           .retry_after = context_.options.retry_after,
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -38,6 +38,7 @@
   // that was cut off goes on soon.
   duration lease{5'000};
   duration look_wait{800};        // how long a worker may hold back its answer
+  duration mixed_look_wait{350};  // the same where filling tasks work beside serving ones
   duration look_timeout{1'500};   // `look_wait` included
   duration order_timeout{400};    // of starts and stops
   duration order_retry{150};      // between two tries of an order
@@ -179,6 +180,7 @@
   void send_start(worker_link& link, const task_key& key, placed_run& run, time_point now);
   void send_stop(worker_link& link, const run_ref& run);
   void send_pace(worker_link& link, const task_key& key, placed_run& run);
+  duration look_wait_of(const worker_link& link) const;
   void send_look(worker_link& link, time_point now);
   void learn_interference(worker_link& link, const look_report& report, time_point now);
   void pace_runs(worker_link& link, time_point now);
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -41,6 +41,12 @@
                      .timeout = options_.order_timeout});
 }
 
+// Where filling tasks work beside serving ones, the tails are read more often.
+duration job_owner::look_wait_of(const worker_link& link) const {
+  const bool mixed = link.serving > 0 && link.fill_millicores > 0;
+  return mixed ? options_.mixed_look_wait : options_.look_wait;
+}
+
 void job_owner::send_look(worker_link& link, time_point now) {
   link.looking = true;
   const bool settled = link.recorded_end == link.seen_end;
@@ -53,7 +59,7 @@
                      .order = look_order{.forget_up_to = link.recorded_end,
                                          .lease_end = renew ? link.lease.extend(now, options_.lease)
                                                             : std::nullopt,
-                                         .wait = patient ? options_.look_wait : duration{0}},
+                                         .wait = patient ? look_wait_of(link) : duration{0}},
                      .timeout = patient ? options_.look_timeout : options_.order_timeout});
 }
 
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -339,6 +339,11 @@
     run->headroom =
         run->headroom <= 0 ? headroom : run->headroom + weight * (headroom - run->headroom);
     model_.observe(run->image, headroom, shares);
+    if (headroom >= 1) {
+      run->over_since.reset();
+    } else if (!run->over_since) {
+      run->over_since = now;
+    }
   }
   if (!observed.empty()) link.tails_at = now;
 }
--- /dev/null
+++ b/coltsfoot/jobs/node_context.cc
@@ -0,0 +1,41 @@
+#include "coltsfoot/jobs/node_context.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "coltsfoot/base/log_text.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+bool is_refusal(caller_verdict verdict) {
+  switch (verdict) {
+    case caller_verdict::accepted:
+    case caller_verdict::state:
+    case caller_verdict::cancelled:
+    case caller_verdict::counted:
+      return false;
+    default:
+      return true;
+  }
+}
+
+}  // namespace
+
+void node_context::answer(call_id call, caller_answer answer) {
+  ++stats.answers[answer.verdict];
+  const auto open = open_calls.find(call);
+  if (open != open_calls.end()) {
+    if (is_refusal(answer.verdict)) {
+      log(severity::info,
+          fmt::format("event=caller_refused path={} verdict={} retry_after_ms={} detail={}",
+                      log_value(open->second), name_of(answer.verdict), answer.retry_after.count(),
+                      log_value_or_none(answer.detail)));
+    }
+    open_calls.erase(open);
+  }
+  push(answer_caller_call{.call = call, .answer = std::move(answer)});
+}
+
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -75,7 +74,7 @@
   wall_time wall;
   std::vector<node_command> commands;
   call_id last_call = 0;
-  std::set<call_id> open_calls;  // of callers
+  std::map<call_id, std::string> open_calls;  // of callers, with the path asked for
   std::optional<time_point> store_contact;
   bool shutting_down = false;
   std::size_t owned_shards = 0;  // claims under way included
@@ -86,11 +85,8 @@
   void log(severity level, const std::string& text) const {
     if (sink) sink(level, text);
   }
-  void answer(call_id call, caller_answer answer) {
-    ++stats.answers[answer.verdict];
-    open_calls.erase(call);
-    push(answer_caller_call{.call = call, .answer = std::move(answer)});
-  }
+  // Answers a caller; each refusal leaves a log line.
+  void answer(call_id call, caller_answer answer);
 };
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/pacing.cc
+++ b/coltsfoot/jobs/pacing.cc
@@ -10,6 +10,9 @@
 // A change below this is not worth an order.
 constexpr std::uint32_t least_change_percent = 10;
 
+// Headroom that is too little to slow another task for.
+constexpr double negligible_headroom = 0.03;
+
 struct filling_run {
   const task_key* key = nullptr;
   const placed_run* run = nullptr;
@@ -54,7 +57,7 @@
                    [&](const auto& a, const auto& b) { return full_loss(a) > full_loss(b); });
   std::vector<pace_change> changes;
   for (const auto& entry : order) {
-    if (missing <= 0) break;
+    if (missing <= negligible_headroom) break;
     const auto pace = entry.run->pace;
     if (pace == 0) continue;
     const auto wanted = std::max(percent_of(missing, full_loss(entry)), least_change_percent);
@@ -65,6 +68,21 @@
   return changes;
 }
 
+bool is_over_for_long(const worker_link& link, duration limit, time_point now) {
+  return std::any_of(link.runs.begin(), link.runs.end(), [&](const auto& entry) {
+    const auto& since = entry.second.over_since;
+    return entry.second.serves && since && now - *since >= limit;
+  });
+}
+
+std::vector<pace_change> halt(const worker_link& link) {
+  std::vector<pace_change> changes;
+  for (const auto& entry : filling_runs(link)) {
+    if (entry.run->pace > 0) changes.push_back({.key = *entry.key, .percent = 0});
+  }
+  return changes;
+}
+
 std::vector<pace_change> release(std::map<std::string, double> room, const worker_link& link,
                                  const interference_model& model) {
   std::vector<pace_change> changes;
@@ -94,7 +112,9 @@
 
 std::vector<pace_change> pacing_changes(const worker_link& link, const interference_model& model,
                                         const pacing_options& options, time_point now) {
-  if (!link.listing || now - link.paced_at < options.settle) return {};
+  if (!link.listing) return {};
+  if (is_over_for_long(link, options.halt_after, now)) return halt(link);
+  if (now - link.paced_at < options.settle) return {};
   auto rooms = headrooms(link);
   const auto least = std::min_element(
       rooms.begin(), rooms.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
--- a/coltsfoot/jobs/pacing.h
+++ b/coltsfoot/jobs/pacing.h
@@ -3,7 +3,8 @@
 //
 // Load it answers: serving tasks whose own load swings, beside filling tasks of images that disturb
 // some of them much and others little. The tasks that disturb the one in need most are slowed
-// first; they are let go again as far as all serving tasks have headroom.
+// first; they are let go again as far as all serving tasks have headroom. Where a serving task
+// stays over its target whatever the model expected, all filling tasks beside it halt.
 //
 //   for (const auto& change : pacing_changes(link, model, {}, now)) send_pace(change);
 #pragma once
@@ -21,7 +22,8 @@
   double slow_below = 1.12;
   double slow_to = 1.35;
   double release_to = 1.4;
-  duration settle{700};  // until a change shows in the reports
+  duration settle{700};        // until a change shows in the reports
+  duration halt_after{2'500};  // of a serving task over its target without a break
 };
 
 struct pace_change {
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -45,10 +45,11 @@
   std::string image;
   duration response_target{0};  // of a serving task
   double headroom = 0;          // of a serving task: target over tail, smoothed; 0: unknown
-  std::uint32_t pace = 100;     // percent of its speed that it was told to work at
-  bool pace_unsure = false;     // the order for `pace` was not answered
-  time_point began{};           // when it was placed
-  time_point sent_at{};         // when its newest start order was sent
+  std::optional<time_point> over_since;  // of a serving task: reports show it over its target
+  std::uint32_t pace = 100;              // percent of its speed that it was told to work at
+  bool pace_unsure = false;              // the order for `pace` was not answered
+  time_point began{};                    // when it was placed
+  time_point sent_at{};                  // when its newest start order was sent
 };
 
 struct worker_link {
