--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -356,6 +356,30 @@
   EXPECT_EQ(fleet.node(0).shards().front()->layout(), before);
 }
 
+TEST(job_fleet_test, no_count_is_told_from_a_copy_that_is_being_read) {
+  virtual_fleet fleet{four_shards(5)};
+  settle(fleet);
+  jobs::job_spec too_large{.payload = "p", .steps = {step(1, duration{300})}};
+  too_large.steps[0].demand.millicores = 1'000'000;
+  for (int i = 0; i < 20; ++i) fleet.submit(i % 6, "j" + std::to_string(i), too_large);
+  fleet.run_for(duration{1'000});
+  fleet.kill_node(0);
+  fleet.run_for(duration{100});
+  fleet.start_node(0);
+  int refused = 0;
+  std::size_t told = 0;
+  for (int i = 0; i < 2'000 && told == 0; ++i) {
+    const auto call = fleet.count(0);
+    fleet.run_for(duration{1});
+    const auto* answer = fleet.answer_of(call);
+    ASSERT_NE(answer, nullptr);
+    refused += answer->verdict == caller_verdict::counted ? 0 : 1;
+    if (answer->verdict == caller_verdict::counted) told = answer->pending;
+  }
+  EXPECT_GT(refused, 0);
+  EXPECT_EQ(told, 20U);
+}
+
 TEST(job_fleet_test, strong_nodes_own_the_shards) {
   auto options = four_shards(4);
   options.strengths = {120, 120, 500, 500, 500, 500};
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -296,6 +296,10 @@
   return ask(node, id, jobs::caller_action::query, {});
 }
 
+call_id virtual_fleet::count(int node) {
+  return ask(node, "", jobs::caller_action::count, {});
+}
+
 const jobs::caller_answer* virtual_fleet::answer_of(call_id call) const {
   const auto found = answers_.find(call);
   return found == answers_.end() ? nullptr : &found->second;
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -46,6 +46,7 @@
   call_id submit(int node, const std::string& id, jobs::job_spec spec);
   call_id cancel(int node, const std::string& id);
   call_id query(int node, const std::string& id);
+  call_id count(int node);
   const jobs::caller_answer* answer_of(call_id call) const;
   // Asks through a node until it says that the job is in `state`.
   bool reaches(int node, const std::string& id, jobs::job_state state, duration limit);
