--- /dev/null
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -0,0 +1,227 @@
+// The part of the owner that places waiting tasks, the most urgent job first.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "coltsfoot/base/log_text.h"
+#include "coltsfoot/jobs/job_owner.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+// A filling task goes on at least this slowly, in percent of its speed.
+constexpr std::uint32_t least_pace = 5;
+
+// Jobs and workers judged in a placing pass for each millisecond until the next pass. It bounds the
+// share of the processor that placing takes while no room is left for many waiting jobs.
+constexpr std::size_t judged_per_ms = 200;
+
+}  // namespace
+
+void job_owner::place(time_point now, wall_time wall) {
+  wall_ = wall;
+  if (waiting_.empty() || now < next_place_) return;
+  failed_demands_.clear();
+  judged_ = waiting_.size();
+  room_is_free_ = much_room_is_free();
+  std::vector<std::pair<job_urgency, job*>> order;
+  order.reserve(waiting_.size());
+  for (const auto& id : waiting_) {
+    if (auto* j = table_.find(id)) order.emplace_back(urgency_of(*j, correction_, wall_), j);
+  }
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.first, a.second->accepted.id) < std::tie(b.first, b.second->accepted.id);
+  });
+  for (const auto& [urgency, j] : order) {
+    place_job(*j, now);
+    note_starved(*j, now);
+    refresh_waiting(*j);
+  }
+  next_place_ = now + duration{static_cast<std::int64_t>(judged_ / judged_per_ms)};
+}
+
+void job_owner::note_starved(const job& j, time_point now) {
+  const bool runs = std::any_of(j.tasks.begin(), j.tasks.end(), [](const auto& task) {
+    return task.phase == task_phase::assigned;
+  });
+  if (runs) {
+    runless_since_.erase(j.accepted.id);
+  } else {
+    runless_since_.try_emplace(j.accepted.id, now);
+  }
+}
+
+bool job_owner::is_starved(const job& j, time_point now) const {
+  const auto since = runless_since_.find(j.accepted.id);
+  return room_is_free_ && since != runless_since_.end() &&
+         now - since->second >= options_.starved_after;
+}
+
+// Whether less than half of the listed workers' processors are in use.
+bool job_owner::much_room_is_free() const {
+  std::int64_t capacity = 0;
+  std::int64_t used = 0;
+  for (const auto& [id, link] : links_) {
+    if (link.listed) capacity += link.listing->capacity.millicores;
+    used += link.used.millicores;
+  }
+  return used < capacity / 2;
+}
+
+void job_owner::place_job(job& j, time_point now) {
+  const auto& spec = j.accepted.spec;
+  for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+    if (!occurrence_due(j, occurrence)) break;
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+      if (j.open_in_step(occurrence, step) == 0 || !j.step_ready(occurrence, step)) continue;
+      if (spec.steps[step].gang) {
+        place_gang(j, occurrence, step, now);
+      } else {
+        place_step(j, occurrence, step, now);
+      }
+    }
+  }
+}
+
+// Whether a demand that is no larger found no room in this pass.
+bool job_owner::is_hopeless(const placement_request& request) const {
+  if (request.starved) return false;
+  const auto& step = *request.step;
+  const auto& image = step.fill ? step.image : std::string{};
+  return std::any_of(failed_demands_.begin(), failed_demands_.end(), [&](const auto& failed) {
+    return failed.service == request.service && failed.fill == step.fill && failed.image == image &&
+           (failed.restart || !request.restart) && failed.demand.fits_in(step.demand);
+  });
+}
+
+// Ranks the workers for a task, or leaves `ranking` empty if there is no room.
+void job_owner::rank_workers(const placement_request& request, time_point now,
+                             std::optional<worker_ranking>& ranking) {
+  ranking.reset();
+  if (is_hopeless(request)) return;
+  judged_ += links_.size();
+  ranking.emplace(request, links_, model_, now);
+  if (ranking->best() != nullptr) return;
+  ranking.reset();
+  const auto& step = *request.step;
+  const bool any_worker =
+      step.required_label.empty() && step.max_per_worker == 0 && !request.starved;
+  if (!any_worker) return;
+  failed_demands_.push_back({.service = request.service,
+                             .fill = step.fill,
+                             .restart = request.restart,
+                             .image = step.fill ? step.image : std::string{},
+                             .demand = step.demand});
+}
+
+placement_request job_owner::request_for(const job& j, std::uint32_t occurrence,
+                                         std::uint32_t step) const {
+  const auto& spec = j.accepted.spec.steps[step];
+  placement_request request{.step = &spec, .service = j.accepted.service};
+  if (spec.max_per_worker == 0 && !spec.tightly_coupled) return request;
+  const auto first = j.index_of({.occurrence = occurrence, .step = step});
+  for (auto i = first; i < first + spec.count; ++i) {
+    const auto& task = j.tasks[i];
+    if (task.phase != task_phase::assigned) continue;
+    ++request.siblings[task.life.worker];
+    const auto link = links_.find(task.life.worker);
+    if (spec.tightly_coupled && link != links_.end() && link->second.listing) {
+      request.preferred_rack = link->second.listing->rack();
+    }
+  }
+  return request;
+}
+
+void job_owner::place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
+  const auto first = j.index_of({.occurrence = occurrence, .step = step});
+  const auto last = first + j.accepted.spec.steps[step].count;
+  const auto& spec = j.accepted.spec.steps[step];
+  auto request = request_for(j, occurrence, step);
+  std::optional<worker_ranking> ranking;
+  bool ranked = false;          // for the request as it is
+  bool placed_starved = false;  // one run is enough: the others wait for room
+  for (auto i = first; i < last; ++i) {
+    if (j.tasks[i].phase != task_phase::waiting) continue;
+    const bool restart = j.tasks[i].run > 0;
+    const bool starved = spec.fill && is_starved(j, now) && !placed_starved;
+    ranked = ranked && restart == request.restart && starved == request.starved;
+    request.restart = restart;
+    request.starved = starved;
+    if (!ranked) rank_workers(request, now, ranking);
+    ranked = true;
+    auto* link = ranking ? ranking->best() : nullptr;
+    if (link == nullptr) continue;
+    placed_starved = true;
+    assign(j, i, *link, j.tasks[i].run + 1, now);
+    ++request.siblings[link->life.worker];
+    ranking->reconsider_best();
+    if (spec.tightly_coupled && request.preferred_rack != link->listing->rack()) {
+      request.preferred_rack = link->listing->rack();
+      ranked = false;
+    }
+  }
+}
+
+// Places all tasks of a step or none. Runs of one gang share their number.
+void job_owner::place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
+  const auto first = j.index_of({.occurrence = occurrence, .step = step});
+  const auto last = first + j.accepted.spec.steps[step].count;
+  run_number run = 0;
+  for (auto i = first; i < last; ++i) {
+    if (j.tasks[i].phase != task_phase::waiting) return;  // the former runs still end
+    run = std::max(run, j.tasks[i].run + 1);
+  }
+  auto request = request_for(j, occurrence, step);
+  std::vector<std::pair<worker_link*, task_index>> chosen;
+  std::optional<worker_ranking> ranking;
+  rank_workers(request, now, ranking);
+  for (auto i = first; i < last && ranking; ++i) {
+    auto* link = ranking->best();
+    if (link == nullptr) break;
+    assign(j, i, *link, run, now);
+    chosen.emplace_back(link, i);
+    ++request.siblings[link->life.worker];
+    ranking->reconsider_best();
+    if (request.step->tightly_coupled && request.preferred_rack != link->listing->rack()) {
+      request.preferred_rack = link->listing->rack();
+      rank_workers(request, now, ranking);
+    }
+  }
+  if (chosen.size() == last - first) return;
+  // Nothing of it is recorded yet, so that the assignments can be undone.
+  for (const auto& [link, index] : chosen) {
+    link->remove({.job = j.accepted.id, .index = index});
+    std::erase(next_.starts, std::pair{link->life.worker, task_key{j.accepted.id, index}});
+    j.tasks[index].phase = task_phase::waiting;
+    j.tasks[index].life = {};
+  }
+}
+
+void job_owner::assign(job& j, task_index index, worker_link& link, run_number run,
+                       time_point now) {
+  auto& task = j.tasks[index];
+  const auto ref = j.ref_of(index);
+  const auto& step = j.step_of(ref);
+  task.phase = task_phase::assigned;
+  task.run = run;
+  task.life = link.life;
+  if (!j.started) stats_.until_started.record(wall_ - j.accepted.accepted_at);
+  j.started = true;
+  const task_key key{.job = j.accepted.id, .index = index};
+  auto placed = run_of_step(step, task, now);
+  if (step.fill) {
+    // Set to work at once at the pace that is borne.
+    placed.pace = std::max(bearable_percent(step, link, model_, now), least_pace);
+    placed.pace_unsure = placed.pace < 100;
+  }
+  link.add(key, std::move(placed));
+  log(severity::info, fmt::format("event=run_placed {} worker={} idle_millicores={}",
+                                  log_text({.task = ref, .run = run}),
+                                  log_value(link.life.worker.value), link.free().millicores));
+  next_.starts.emplace_back(link.life.worker, key);
+  mark_changed(j);
+}
+
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -17,6 +17,20 @@
 
 }  // namespace
 
+placed_run run_of_step(const step_spec& step, const task_progress& task, time_point now) {
+  return {.run = task.run,
+          .progressed_at = now,
+          .checkpoint = task.checkpoint,
+          .demand = {.millicores = step.fill ? 0 : step.demand.millicores,
+                     .memory_mb = step.demand.memory_mb,
+                     .accelerators = step.demand.accelerators},
+          .fill_millicores = step.fill ? step.demand.millicores : 0,
+          .serves = step.serves(),
+          .image = step.image,
+          .response_target = step.response_target,
+          .began = now};
+}
+
 void worker_link::add(const task_key& key, placed_run run) {
   used += run.demand;
   fill_millicores += run.fill_millicores;
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -52,6 +52,9 @@
   time_point sent_at{};                  // when its newest start order was sent
 };
 
+// Returns a run of a task of `step` that is placed now and not recorded yet.
+placed_run run_of_step(const step_spec& step, const task_progress& task, time_point now);
+
 struct worker_link {
   worker_link(worker_id worker, std::uint64_t incarnation, time_point inherited_until)
       : life{.worker = std::move(worker), .incarnation = incarnation}, lease(inherited_until) {}
