--- a/coltsfoot/jobs/owner_election_test.cc
+++ b/coltsfoot/jobs/owner_election_test.cc
@@ -63,5 +63,50 @@
   EXPECT_FALSE(should_claim(in, options, start + duration{500}));
 }
 
+TEST(owner_election_test, a_weaker_node_and_one_that_owns_a_shard_wait_longer) {
+  const time_point late = start + duration{1'100};
+  auto in = follower_inputs();
+  in.last_read = late;
+  in.strength = 500;
+  in.claim.strength = 500;
+  EXPECT_TRUE(should_claim(in, options, late));
+  in.strength = 120;
+  EXPECT_FALSE(should_claim(in, options, late));
+  in.strength = 500;
+  in.owned_shards = 1;
+  EXPECT_FALSE(should_claim(in, options, late));
+  in.last_read = late + options.weaker_waits;
+  EXPECT_TRUE(should_claim(in, options, late + options.weaker_waits)) << "in the end it claims";
+}
+
+TEST(owner_election_test, an_owner_is_relieved_by_a_much_stronger_node_that_owns_nothing) {
+  const time_point later = start + 2 * options.settled;
+  auto in = follower_inputs();
+  in.claim_read = start;
+  in.owner_seen = later;
+  in.last_read = later;
+  in.strength = 500;
+  in.claim.strength = 400;
+  EXPECT_FALSE(should_claim(in, options, later)) << "hardly stronger";
+  in.claim.strength = 120;
+  EXPECT_TRUE(should_claim(in, options, later));
+  EXPECT_FALSE(should_claim(in, options, start + duration{500})) << "the owner has just begun";
+  in.owned_shards = 1;
+  EXPECT_FALSE(should_claim(in, options, later));
+}
+
+TEST(owner_election_test, one_of_several_shards_is_taken_from_an_owner) {
+  const time_point later = start + 2 * options.settled;
+  auto in = follower_inputs();
+  in.claim_read = start;
+  in.owner_seen = later;
+  in.last_read = later;
+  in.strength = 250;
+  in.claim.strength = 250;
+  EXPECT_FALSE(should_claim(in, options, later));
+  in.owner_shards = 2;
+  EXPECT_TRUE(should_claim(in, options, later));
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
