Log why long-running tasks wait, and name the shard in every line of an owner

The logs could not tell whether the room was in another shard, in pieces too small, or held by a run that the owner wrongly believed in: fleet_load had no shard and no figure of a single worker, and a task that is not placed left no line.

placing_obstacle names what keeps a task off a worker; the ranking uses the same function, so that the log can't differ from the decision. task_waits tells it once a second for at most four jobs that have waited for 2 s. No decision changes.

--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -71,7 +71,7 @@
     }
     if (j.cancel_requested) cancelling_.insert(id);
     if (j.accepted.spec.scheduled()) scheduled_.insert(id);
-    refresh_waiting(j);
+    refresh_waiting(j, now);
   }
   log(severity::info,
       fmt::format("event=jobs_taken_over fence={} open_jobs={} runs={}", fence_, open, runs));
@@ -105,27 +105,27 @@
   return false;
 }
 
-void job_owner::refresh_waiting(const job& j) {
+void job_owner::refresh_waiting(const job& j, time_point now) {
   if (!j.ended() && !j.cancel_requested && has_waiting_task(j)) {
-    waiting_.insert(j.accepted.id);
+    waiting_.try_emplace(j.accepted.id, now);
   } else {
     waiting_.erase(j.accepted.id);
     runless_since_.erase(j.accepted.id);
   }
 }
 
-void job_owner::on_accepted(const job_id& id) {
+void job_owner::on_accepted(const job_id& id, time_point now) {
   auto* j = table_.find(id);
   if (j == nullptr || j->ended()) return;
   if (j->accepted.spec.scheduled()) scheduled_.insert(id);
-  refresh_waiting(*j);
+  refresh_waiting(*j, now);
 }
 
 void job_owner::on_cancelled(const job_id& id, time_point now) {
   auto* j = table_.find(id);
   if (j == nullptr || j->ended()) return;
   cancelling_.insert(id);
-  refresh_waiting(*j);
+  refresh_waiting(*j, now);
   stop_runs_of(id, now);
   settle_cancelled(*j, now);
 }
@@ -157,7 +157,7 @@
   cancelling_.erase(id);
   scheduled_.erase(id);
   mark_changed(j);
-  refresh_waiting(j);
+  refresh_waiting(j, now);
   stop_runs_of(id, now);
   if (outcome == job_outcome::completed) {
     ++stats_.completed;
@@ -180,7 +180,7 @@
   const bool all_done = std::all_of(j.open_tasks.begin(), j.open_tasks.end(),
                                     [](std::uint32_t open) { return open == 0; });
   if (all_done) return finish(j, job_outcome::completed, now);
-  refresh_waiting(j);
+  refresh_waiting(j, now);
 }
 
 void job_owner::on_task_failed(job& j, task_index index, const std::string& checkpoint,
@@ -195,16 +195,17 @@
                                     ref.index, task.failures));
     return finish(j, job_outcome::failed, now);
   }
-  requeue(j, index, checkpoint);
+  requeue(j, index, checkpoint, now);
 }
 
-void job_owner::requeue(job& j, task_index index, const std::string& checkpoint) {
+void job_owner::requeue(job& j, task_index index, const std::string& checkpoint,
+                        time_point now) {
   auto& task = j.tasks[index];
   task.phase = task_phase::waiting;
   task.life = {};
   if (!checkpoint.empty()) task.checkpoint = checkpoint;
   mark_changed(j);
-  refresh_waiting(j);
+  refresh_waiting(j, now);
 }
 
 void job_owner::drop_expired() {
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -82,7 +82,7 @@
   void on_unlisted(const worker_id& worker);
   // The listed workers as a whole; others are not listed any more.
   void on_listings(const std::vector<worker_listing>& listings, time_point now);
-  void on_accepted(const job_id& id);
+  void on_accepted(const job_id& id, time_point now);
   void on_cancelled(const job_id& id, time_point now);
 
   // --- Answers to orders ---
@@ -138,12 +138,12 @@
   // Jobs.
   void adopt(time_point now);
   void mark_changed(const job& j);
-  void refresh_waiting(const job& j);
+  void refresh_waiting(const job& j, time_point now);
   bool has_waiting_task(const job& j) const;
   void finish(job& j, job_outcome outcome, time_point now);
   void on_task_done(job& j, task_index index, time_point now);
   void on_task_failed(job& j, task_index index, const std::string& checkpoint, time_point now);
-  void requeue(job& j, task_index index, const std::string& checkpoint);
+  void requeue(job& j, task_index index, const std::string& checkpoint, time_point now);
   void stop_runs_of(const job_id& id, time_point now);
   void settle_cancelled(job& j, time_point now);
   void drop_expired();
@@ -152,6 +152,8 @@
   void note_starved(const job& j, time_point now);
   bool is_starved(const job& j, time_point now) const;
   bool much_room_is_free() const;
+  void log_long_waits(time_point now) const;
+  bool log_wait(const job& j, std::uint32_t step, duration waited, time_point now) const;
   void place_job(job& j, time_point now);
   bool is_hopeless(const placement_request& request) const;
   void rank_workers(const placement_request& request, time_point now,
@@ -167,7 +169,7 @@
   placed_run* run_of(worker_link& link, const run_ref& run, task_key& key);
   void end_life(worker_link& link, std::string_view reason, time_point now);
   void change_life(worker_link& link, const look_report& report, time_point now);
-  void lose_run(worker_link& link, const task_key& key, std::string_view reason);
+  void lose_run(worker_link& link, const task_key& key, std::string_view reason, time_point now);
   void on_ended(worker_link& link, const ended_row& row, time_point now);
   void on_running(worker_link& link, const running_row& row, time_point now);
   void settle_missing(worker_link& link, const std::set<run_ref>& listed, time_point sent_at,
@@ -199,7 +201,7 @@
   worker_links links_;
   interference_model model_{{}};
   estimate_correction correction_;
-  std::set<job_id> waiting_;                    // open jobs with a task that could be placed
+  std::map<job_id, time_point> waiting_;  // open jobs with a task that could be placed, since when
   std::map<job_id, time_point> runless_since_;  // waiting jobs without a run
   bool room_is_free_ = false;                   // of the present placing pass
   std::size_t judged_ = 0;                      // jobs and workers, in the present placing pass
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -109,7 +109,7 @@
     ++stats_.rejected;
     // An earlier order for the run may still be carried out: a stop rules that out.
     if (run->doubtful) return stop_run(*link, key, now);
-    lose_run(*link, key, reason);
+    lose_run(*link, key, reason, now);
   };
   switch (answer.verdict) {
     case order_verdict::accepted:
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -18,6 +18,10 @@
 // share of the processor that placing takes while no room is left for many waiting jobs.
 constexpr std::size_t judged_per_ms = 200;
 
+// A job that waits this long with a long-running task leaves a log line, once a second.
+constexpr duration long_wait{2'000};
+constexpr std::size_t most_wait_lines = 4;
+
 }  // namespace
 
 void job_owner::place(time_point now, wall_time wall) {
@@ -28,7 +32,7 @@
   room_is_free_ = much_room_is_free();
   std::vector<std::pair<job_urgency, job*>> order;
   order.reserve(waiting_.size());
-  for (const auto& id : waiting_) {
+  for (const auto& [id, since] : waiting_) {
     if (auto* j = table_.find(id)) order.emplace_back(urgency_of(*j, correction_, wall_), j);
   }
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
@@ -37,7 +41,7 @@
   for (const auto& [urgency, j] : order) {
     place_job(*j, now);
     note_starved(*j, now);
-    refresh_waiting(*j);
+    refresh_waiting(*j, now);
   }
   next_place_ = now + duration{static_cast<std::int64_t>(judged_ / judged_per_ms)};
 }
@@ -70,6 +74,46 @@
   return used < capacity / 2;
 }
 
+// Tells of long-running tasks that have waited long, and why no worker can take them.
+void job_owner::log_long_waits(time_point now) const {
+  std::size_t lines = 0;
+  for (const auto& [id, since] : waiting_) {
+    const auto* j = table_.find(id);
+    if (j == nullptr || now - since < long_wait) continue;
+    const auto& steps = j->accepted.spec.steps;
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+      if (!steps[step].long_running || !j->step_ready(0, step)) continue;
+      if (log_wait(*j, step, now - since, now) && ++lines == most_wait_lines) return;
+    }
+  }
+}
+
+// Returns whether a task of the step waits.
+bool job_owner::log_wait(const job& j, std::uint32_t step, duration waited, time_point now) const {
+  const auto first = j.tasks.begin() + j.index_of({.occurrence = 0, .step = step});
+  const auto last = first + j.accepted.spec.steps[step].count;
+  const auto waits = [](const auto& task) { return task.phase == task_phase::waiting; };
+  const auto tasks = std::count_if(first, last, waits);
+  if (tasks == 0) return false;
+  const auto task = std::find_if(first, last, waits);
+  auto request = request_for(j, 0, step);
+  request.restart = task->run > 0;
+  std::map<std::string_view, std::size_t> workers;  // by obstacle
+  for (const auto& [worker, link] : links_) {
+    const auto obstacle = obstacle_to(request, link, model_, now);
+    ++workers[obstacle ? name_of(*obstacle) : "none"];
+  }
+  std::string counts;
+  for (const auto& [obstacle, count] : workers) counts += fmt::format(" {}={}", obstacle, count);
+  const auto ref = j.ref_of(static_cast<task_index>(task - j.tasks.begin()));
+  const auto& demand = request.step->demand;
+  log(severity::warning,
+      fmt::format("event=task_waits {} job_waited_ms={} tasks={} millicores={} memory_mb={}{}",
+                  log_text({.task = ref, .run = task->run}), waited.count(), tasks,
+                  demand.millicores, demand.memory_mb, counts));
+  return true;
+}
+
 void job_owner::place_job(job& j, time_point now) {
   const auto& spec = j.accepted.spec;
   for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -113,7 +113,7 @@
   log(severity::info,
       fmt::format("event=worker_life_ended worker={} incarnation={} reason={} runs={}",
                   log_value(link.life.worker.value), link.life.incarnation, reason, keys.size()));
-  for (const auto& key : keys) lose_run(link, key, reason);
+  for (const auto& key : keys) lose_run(link, key, reason, now);
   link.seen_end = 0;
   link.recorded_end = 0;
   link.next_look = now;
@@ -155,11 +155,12 @@
       run.next_try = now;
     }
   }
-  for (const auto& key : over) lose_run(link, key, "worker_restarted");
+  for (const auto& key : over) lose_run(link, key, "worker_restarted", now);
 }
 
 // The run is over without an end that counts. The task waits for another start.
-void job_owner::lose_run(worker_link& link, const task_key& key, std::string_view reason) {
+void job_owner::lose_run(worker_link& link, const task_key& key, std::string_view reason,
+                         time_point now) {
   const auto found = link.runs.find(key);
   if (found == link.runs.end()) return;
   const auto checkpoint = found->second.checkpoint;
@@ -171,7 +172,7 @@
   log(severity::info, fmt::format("event=run_over {} worker={} reason={}",
                                   log_text({.task = j->ref_of(key.index), .run = run}),
                                   log_value(link.life.worker.value), reason));
-  requeue(*j, key.index, checkpoint);
+  requeue(*j, key.index, checkpoint, now);
 }
 
 void job_owner::stop_run(worker_link& link, const task_key& key, time_point now) {
@@ -179,7 +180,7 @@
   if (found == link.runs.end()) return;
   auto& run = found->second;
   if (run.phase == start_phase::recording || run.phase == start_phase::to_send) {
-    lose_run(link, key, "not_sent");
+    lose_run(link, key, "not_sent", now);
     return;
   }
   if (run.stop_wanted) return;
@@ -293,7 +294,7 @@
       link.failures_in_a_row = 0;
       correction_.observe(j->accepted.queue, step.estimate, taken);
       if (step.long_running) {
-        requeue(*j, key.index, row.checkpoint);
+        requeue(*j, key.index, row.checkpoint, now);
       } else if (step.gang) {
         const auto first =
             j->index_of({.occurrence = row.run.task.occurrence, .step = row.run.task.step});
@@ -312,7 +313,7 @@
     case run_end::partner_ended:
     case run_end::partner_missing:
       ++stats_.ends_other;
-      requeue(*j, key.index, row.checkpoint);
+      requeue(*j, key.index, row.checkpoint, now);
       break;
   }
   if (cancelling_.contains(key.job)) settle_cancelled(*j, now);
@@ -365,7 +366,7 @@
     if (stopped || vanished) lost.push_back(key);
   }
   for (const auto& key : lost) {
-    lose_run(link, key, "not_listed");
+    lose_run(link, key, "not_listed", now);
     auto* j = table_.find(key.job);
     if (j != nullptr && cancelling_.contains(key.job)) settle_cancelled(*j, now);
   }
@@ -384,7 +385,7 @@
   }
   for (const auto& id : std::vector<job_id>{scheduled_.begin(), scheduled_.end()}) {
     const auto* j = table_.find(id);
-    if (j != nullptr) refresh_waiting(*j);
+    if (j != nullptr) refresh_waiting(*j, now);
     if (j == nullptr || occurrence_due(*j, j->accepted.spec.occurrences() - 1)) {
       scheduled_.erase(id);
     }
@@ -393,6 +394,7 @@
   next_summary_ = now + summary_interval;
   drop_expired();
   log_summary(now);
+  log_long_waits(now);
 }
 
 // Tends all workers of a small fleet, and a part of those of a large one, in turn.
@@ -435,9 +437,15 @@
   std::size_t runs = 0;
   resources capacity;
   resources used;
+  resources largest;  // room on one usable worker, each kind by itself
   std::int64_t fill = 0;
   for (const auto& [id, link] : links_) {
-    if (link.usable(now)) ++usable;
+    if (link.usable(now)) {
+      ++usable;
+      const auto free = link.free();
+      largest.millicores = std::max(largest.millicores, free.millicores);
+      largest.memory_mb = std::max(largest.memory_mb, free.memory_mb);
+    }
     if (link.serving > 0) ++serving;
     if (link.listing) capacity += link.listing->capacity;
     runs += link.runs.size();
@@ -446,9 +454,10 @@
   }
   log(severity::info,
       fmt::format("event=fleet_load workers={} usable={} serving={} runs={} "
-                  "waiting_jobs={} capacity_millicores={} used_millicores={} fill_millicores={}",
+                  "waiting_jobs={} capacity_millicores={} used_millicores={} fill_millicores={} "
+                  "largest_free_millicores={} largest_free_memory_mb={}",
                   links_.size(), usable, serving, runs, waiting_.size(), capacity.millicores,
-                  used.millicores, fill));
+                  used.millicores, fill, largest.millicores, largest.memory_mb));
   const auto median_ms = [](const latency_histogram& values) {
     return std::chrono::duration_cast<duration>(values.quantile(0.5)).count();
   };
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -136,7 +136,7 @@
   }
   switch (applied->kind) {
     case record_kind::acceptance:
-      if (owner_) owner_->on_accepted(applied->job);
+      if (owner_) owner_->on_accepted(applied->job, context_.now);
       return;
     case record_kind::cancellation:
       if (owner_) owner_->on_cancelled(applied->job, context_.now);
@@ -232,8 +232,9 @@
   layout_to_record_.reset();
   layout_sent_ = {};
   const auto fence = state_.claim.fence;
-  owner_.emplace(context_.options.owner, fence, state_.table, context_.now, context_.wall,
-                 context_.sink);
+  // Its lines name the shard too.
+  const log_sink sink = [this](severity level, const std::string& text) { log(level, text); };
+  owner_.emplace(context_.options.owner, fence, state_.table, context_.now, context_.wall, sink);
   log(severity::info, fmt::format("event=became_owner fence={} offset={} jobs={}", fence,
                                   journal_.position(), state_.table.size()));
 }
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -75,14 +75,25 @@
   return left >= std::min(kept, step.demand.millicores);
 }
 
-bool has_room(const placement_request& request, const worker_link& link,
-              const interference_model& model, time_point now) {
+// Why the room that is left on a worker does not do; nothing if it does.
+std::optional<placing_obstacle> lacks_room(const placement_request& request,
+                                           const worker_link& link,
+                                           const interference_model& model, time_point now) {
   const auto& step = *request.step;
-  if (!room_needed(step).fits_in(link.free())) return false;
-  if (step.long_running) return request.restart || leaves_room_for_short(step, link);
-  if (!step.fill) return true;
-  if (link.idle_millicores() < step.demand.millicores) return false;
-  return request.starved || bearable_percent(step, link, model, now) >= full_speed;
+  const auto needed = room_needed(step);
+  const auto free = link.free();
+  if (needed.memory_mb > free.memory_mb || needed.accelerators > free.accelerators) {
+    return placing_obstacle::memory;
+  }
+  if (needed.millicores > free.millicores) return placing_obstacle::processors;
+  if (step.long_running) {
+    if (request.restart || leaves_room_for_short(step, link)) return std::nullopt;
+    return placing_obstacle::kept_room;
+  }
+  if (!step.fill) return std::nullopt;
+  if (link.idle_millicores() < step.demand.millicores) return placing_obstacle::processors;
+  const bool borne = request.starved || bearable_percent(step, link, model, now) >= full_speed;
+  return borne ? std::nullopt : std::optional{placing_obstacle::interference};
 }
 
 // Headroom that all serving tasks of a worker lose together.
@@ -119,6 +130,15 @@
   return static_cast<std::uint32_t>(part * full_speed);
 }
 
+std::optional<placing_obstacle> obstacle_to(const placement_request& request,
+                                            const worker_link& link,
+                                            const interference_model& model, time_point now) {
+  if (const auto unusable = link.obstacle(now)) return unusable;
+  if (!meets_rules(request, *link.listing)) return placing_obstacle::wrong_kind;
+  if (!within_worker_limit(request, link.life.worker)) return placing_obstacle::worker_limit;
+  return lacks_room(request, link, model, now);
+}
+
 worker_ranking::worker_ranking(const placement_request& request, worker_links& links,
                                const interference_model& model, time_point now)
     : request_(request), model_(model), now_(now) {
@@ -151,9 +171,7 @@
 }
 
 std::optional<worker_ranking::suitability> worker_ranking::judge(const worker_link& link) const {
-  if (!link.usable(now_) || !meets_rules(request_, *link.listing)) return std::nullopt;
-  if (!within_worker_limit(request_, link.life.worker)) return std::nullopt;
-  if (!has_room(request_, link, model_, now_)) return std::nullopt;
+  if (obstacle_to(request_, link, model_, now_)) return std::nullopt;
   const auto& step = *request_.step;
   const bool near_data = !step.data_label.empty() && link.listing->has_label(step.data_label);
   const bool near_siblings =
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -39,6 +39,11 @@
   bool restart = false;  // the task has run before: it may use room that is kept for others
 };
 
+// Why a task of the request can't be placed on the worker; nothing if it can.
+std::optional<placing_obstacle> obstacle_to(const placement_request& request,
+                                            const worker_link& link,
+                                            const interference_model& model, time_point now);
+
 // The workers with room for tasks of one request, by how well they suit. The request, the workers
 // and the model must outlive it. Between two calls only the best worker may change.
 class worker_ranking {
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -71,9 +71,13 @@
   return assumed - paced_fill_millicores;
 }
 
-bool worker_link::usable(time_point now) const {
-  if (!listed || listing->draining || now < avoid_until) return false;
-  return failed_looks == 0 && last_contact && now - *last_contact < contact_limit;
+std::optional<placing_obstacle> worker_link::obstacle(time_point now) const {
+  if (!listed) return placing_obstacle::unlisted;
+  if (listing->draining) return placing_obstacle::draining;
+  if (now < avoid_until) return placing_obstacle::avoided;
+  const bool answers = failed_looks == 0 && last_contact && now - *last_contact < contact_limit;
+  if (!answers) return placing_obstacle::silent;
+  return std::nullopt;
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 
+#include "coltsfoot/base/name_table.h"
 #include "coltsfoot/jobs/lease_clock.h"
 #include "coltsfoot/jobs/worker_calls.h"
 
@@ -55,6 +56,20 @@
 // Returns a run of a task of `step` that is placed now and not recorded yet.
 placed_run run_of_step(const step_spec& step, const task_progress& task, time_point now);
 
+// Why a task can't be placed on a worker.
+enum class placing_obstacle {
+  unlisted,      // the registry doesn't list the worker
+  draining,      // it leaves
+  avoided,       // it failed or rejected too much lately
+  silent,        // it doesn't answer
+  wrong_kind,    // of another service, or without the label that is required
+  worker_limit,  // as many tasks of the step run there as may
+  memory,        // too little is free, accelerators included
+  processors,    // too few are free
+  kept_room,     // the room left is kept for short tasks
+  interference   // serving tasks there would miss their targets
+};
+
 struct worker_link {
   worker_link(worker_id worker, std::uint64_t incarnation, time_point inherited_until)
       : life{.worker = std::move(worker), .incarnation = incarnation}, lease(inherited_until) {}
@@ -95,8 +110,27 @@
   // Processors that filling tasks could use and do not.
   std::int64_t idle_millicores() const;
 
+  // Why no new work may be placed here, whatever it is; nothing if it may.
+  std::optional<placing_obstacle> obstacle(time_point now) const;
   // Whether new work may be placed here.
-  bool usable(time_point now) const;
+  bool usable(time_point now) const { return !obstacle(now); }
 };
 
 }  // namespace coltsfoot::jobs
+
+namespace coltsfoot {
+template <>
+struct enum_names<jobs::placing_obstacle> {
+  static constexpr std::array table{
+      std::pair{jobs::placing_obstacle::unlisted, std::string_view{"unlisted"}},
+      std::pair{jobs::placing_obstacle::draining, std::string_view{"draining"}},
+      std::pair{jobs::placing_obstacle::avoided, std::string_view{"avoided"}},
+      std::pair{jobs::placing_obstacle::silent, std::string_view{"silent"}},
+      std::pair{jobs::placing_obstacle::wrong_kind, std::string_view{"wrong_kind"}},
+      std::pair{jobs::placing_obstacle::worker_limit, std::string_view{"worker_limit"}},
+      std::pair{jobs::placing_obstacle::memory, std::string_view{"memory"}},
+      std::pair{jobs::placing_obstacle::processors, std::string_view{"processors"}},
+      std::pair{jobs::placing_obstacle::kept_room, std::string_view{"kept_room"}},
+      std::pair{jobs::placing_obstacle::interference, std::string_view{"interference"}}};
+};
+}  // namespace coltsfoot
