--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -198,8 +198,7 @@
   requeue(j, index, checkpoint, now);
 }
 
-void job_owner::requeue(job& j, task_index index, const std::string& checkpoint,
-                        time_point now) {
+void job_owner::requeue(job& j, task_index index, const std::string& checkpoint, time_point now) {
   auto& task = j.tasks[index];
   task.phase = task_phase::waiting;
   task.life = {};
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -77,8 +77,8 @@
 
 // Why the room that is left on a worker does not do; nothing if it does.
 std::optional<placing_obstacle> lacks_room(const placement_request& request,
-                                           const worker_link& link,
-                                           const interference_model& model, time_point now) {
+                                           const worker_link& link, const interference_model& model,
+                                           time_point now) {
   const auto& step = *request.step;
   const auto needed = room_needed(step);
   const auto free = link.free();
--- a/coltsfoot/jobs/placement_test.cc
+++ b/coltsfoot/jobs/placement_test.cc
@@ -169,5 +169,36 @@
   EXPECT_EQ(link.idle_millicores(), at_full_speed + 30'000);
 }
 
+// A log line that names the wrong obstacle would send the reader to the wrong cause.
+TEST(placement_test, the_obstacle_to_a_task_is_told_by_its_kind) {
+  worker_links links;
+  auto& link = add_worker(links, "w1");
+  auto step = short_step(60'000);
+  step.long_running = true;
+  placement_request request{.step = &step, .service = service};
+  const interference_model model{{}};
+  const auto obstacle = [&] { return obstacle_to(request, link, model, now); };
+  EXPECT_EQ(obstacle(), placing_obstacle::kept_room);
+  request.restart = true;
+  EXPECT_EQ(obstacle(), std::nullopt);
+  step.demand.memory_mb = 250'001;
+  EXPECT_EQ(obstacle(), placing_obstacle::memory);
+  step.demand = {.millicores = 64'001};
+  EXPECT_EQ(obstacle(), placing_obstacle::processors);
+  step.max_per_worker = 1;
+  request.siblings[link.life.worker] = 1;
+  EXPECT_EQ(obstacle(), placing_obstacle::worker_limit);
+  step.required_label = "b";
+  EXPECT_EQ(obstacle(), placing_obstacle::wrong_kind);
+  link.failed_looks = 1;
+  EXPECT_EQ(obstacle(), placing_obstacle::silent);
+  link.avoid_until = now + duration{1};
+  EXPECT_EQ(obstacle(), placing_obstacle::avoided);
+  link.listing->draining = true;
+  EXPECT_EQ(obstacle(), placing_obstacle::draining);
+  link.listed = false;
+  EXPECT_EQ(obstacle(), placing_obstacle::unlisted);
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
