Take answers to orders only at the owner that gave them

Callers saw: jobs of a shard that nobody started or restarted for seconds. Cause: an answer of a worker named neither the shard nor the fence of its order, and was offered to every owner in the process. A look of a former ownership that the worker rejected for the fence that the same node had claimed since was taken as "another node owns the shard": the owner stepped down, claimed again, and its own looks that were still on their way turned it away once more.

Change: an order carries its shard and the owner's fence, and so does its answer; the node drops answers of former ownerships.

Evidence: an_owner_is_not_turned_away_by_answers_to_its_former_orders. Whether the users' report came from this is not shown.

--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -51,34 +51,33 @@
   shut_down_when_due();
 }
 
-// A worker belongs to one shard; the owners of others do not know it.
+job_owner* job_node::owner_of(const order_origin& origin) {
+  if (origin.shard >= shards_.size()) return nullptr;
+  auto* owner = shards_[origin.shard]->owner();
+  return owner != nullptr && owner->fence() == origin.fence ? owner : nullptr;
+}
+
 void job_node::on(const start_answered& event) {
-  for (auto& shard : shards_) {
-    if (auto* owner = shard->owner()) {
-      owner->on_start_answer(event.life, event.run, event.answer, context_.now);
-    }
+  if (auto* owner = owner_of(event.origin)) {
+    owner->on_start_answer(event.life, event.run, event.answer, context_.now);
   }
 }
 
 void job_node::on(const stop_answered& event) {
-  for (auto& shard : shards_) {
-    if (auto* owner = shard->owner()) {
-      owner->on_stop_answer(event.life, event.run, event.answer, context_.now);
-    }
+  if (auto* owner = owner_of(event.origin)) {
+    owner->on_stop_answer(event.life, event.run, event.answer, context_.now);
   }
 }
 
 void job_node::on(const pace_answered& event) {
-  for (auto& shard : shards_) {
-    if (auto* owner = shard->owner()) owner->on_pace_answer(event.life, event.run, event.answer);
+  if (auto* owner = owner_of(event.origin)) {
+    owner->on_pace_answer(event.life, event.run, event.answer);
   }
 }
 
 void job_node::on(const look_answered& event) {
-  for (auto& shard : shards_) {
-    if (auto* owner = shard->owner()) {
-      owner->on_look_answer(event.life, event.answer, event.sent_at, context_.now);
-    }
+  if (auto* owner = owner_of(event.origin)) {
+    owner->on_look_answer(event.life, event.answer, event.sent_at, context_.now);
   }
 }
 
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -74,6 +74,8 @@
   bool journals_are_fresh() const;
 
   // Shards and workers.
+  // The owner that gave an order, if it still owns its shard; otherwise null.
+  job_owner* owner_of(const order_origin& origin);
   const fleet_layout& layout() const { return shards_.front()->layout(); }
   void open_shards();
   void count_owned_shards();
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -107,6 +107,7 @@
 
   std::vector<worker_order> take_orders() { return std::exchange(orders_, {}); }
 
+  std::uint64_t fence() const { return fence_; }
   // Whether a worker has seen a higher fence: another node owns the jobs.
   bool fenced() const { return fenced_; }
 
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -260,7 +260,10 @@
   write_owner_batch();
   const auto fence = state_.claim.fence;
   for (auto& order : owner_->take_orders()) {
-    context_.push(give_order{.fence = fence, .order = std::move(order), .sent_at = context_.now});
+    context_.push(give_order{.origin = {.shard = number_, .fence = fence},
+                             .fence = fence,
+                             .order = std::move(order),
+                             .sent_at = context_.now});
   }
 }
 
--- a/coltsfoot/jobs/node_messages.h
+++ b/coltsfoot/jobs/node_messages.h
@@ -88,21 +88,25 @@
   std::variant<list_page, tail_page, read_failed> page;
 };
 struct start_answered {
+  order_origin origin;
   worker_life life;
   run_ref run;
   order_answer answer;
 };
 struct stop_answered {
+  order_origin origin;
   worker_life life;
   run_ref run;
   order_answer answer;
 };
 struct pace_answered {
+  order_origin origin;
   worker_life life;
   run_ref run;
   order_answer answer;
 };
 struct look_answered {
+  order_origin origin;
   worker_life life;
   look_answer answer;
   time_point sent_at;
@@ -142,7 +146,8 @@
   follow_request request;
 };
 struct give_order {  // result: start_answered, stop_answered, pace_answered or look_answered
-  std::uint64_t fence = 0;
+  order_origin origin;
+  std::uint64_t fence = 0;  // that the worker is told
   worker_order order;
   time_point sent_at;
 };
--- a/coltsfoot/jobs/worker_calls.h
+++ b/coltsfoot/jobs/worker_calls.h
@@ -43,6 +43,14 @@
   duration timeout{0};
 };
 
+// Whose order it was. A later owner takes no answers to the orders of a former one, though both may
+// have lived in the same process.
+struct order_origin {
+  std::uint32_t shard = 0;
+  std::uint64_t fence = 0;  // of the owner
+  friend bool operator==(const order_origin&, const order_origin&) = default;
+};
+
 enum class order_verdict {
   accepted,
   fenced,      // the worker has seen a higher fence
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -118,6 +118,23 @@
   EXPECT_TRUE(fleet.broken().empty());
 }
 
+// Looks of the former ownership are rejected for the fence that the same node has claimed since.
+TEST(job_fleet_test, an_owner_is_not_turned_away_by_answers_to_its_former_orders) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    virtual_fleet fleet{{.nodes = 1, .seed = seed, .slow_looks = 0.5}};
+    settle(fleet);
+    fleet.submit(0, "j", lasting(4));
+    fleet.run_for(duration{2'000});
+    fleet.freeze_node(0, true);
+    fleet.run_for(duration{1'050});
+    fleet.freeze_node(0, false);
+    fleet.run_for(duration{5'000});
+    EXPECT_EQ(fleet.node(0).stats().step_downs, 1U) << "seed " << seed;
+    EXPECT_EQ(fleet.owner(), 0) << "seed " << seed;
+    EXPECT_EQ(fleet.running("j"), 4U) << "seed " << seed;
+  }
+}
+
 TEST(job_fleet_test, all_nodes_killed_at_once_lose_no_accepted_job) {
   virtual_fleet fleet{{}};
   settle(fleet);
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -15,6 +15,7 @@
 
 constexpr duration tick_interval{25};
 constexpr duration network_delay{1};
+constexpr duration slow_network_delay{600};
 constexpr duration append_time{5};
 constexpr duration worker_beat{1'000};
 constexpr std::string_view service = "svc";
@@ -373,8 +374,9 @@
 
 void virtual_fleet::run(int node, const jobs::give_order& c) {
   if (const auto* look = std::get_if<jobs::look_order>(&c.order.order)) {
-    const auto until = now_ + look->wait;
-    return after(network_delay, [this, node, c, until] { look_when_due(node, c, until); });
+    const auto delay = chance(options_.slow_looks) ? slow_network_delay : network_delay;
+    const auto until = now_ + delay + look->wait;
+    return after(delay, [this, node, c, until] { look_when_due(node, c, until); });
   }
   const auto life = c.order.life;
   const bool late = chance(options_.late_orders);
@@ -384,9 +386,11 @@
   after(delay, [this, node, c, answered] { carry_out(node, c, answered); });
   if (answered) return;
   if (const auto* start = std::get_if<jobs::start_order>(&c.order.order)) {
-    deliver_after(node, c.order.timeout, jobs::start_answered{.life = life, .run = start->run});
+    deliver_after(node, c.order.timeout,
+                  jobs::start_answered{.origin = c.origin, .life = life, .run = start->run});
   } else if (const auto* stop = std::get_if<jobs::stop_order>(&c.order.order)) {
-    deliver_after(node, c.order.timeout, jobs::stop_answered{.life = life, .run = stop->run});
+    deliver_after(node, c.order.timeout,
+                  jobs::stop_answered{.origin = c.origin, .life = life, .run = stop->run});
   }
 }
 
@@ -396,9 +400,11 @@
   if (!state.reachable) {
     if (!answered) return;
     if (const auto* start = std::get_if<jobs::start_order>(&c.order.order)) {
-      deliver_after(node, c.order.timeout, jobs::start_answered{.life = life, .run = start->run});
+      deliver_after(node, c.order.timeout,
+                    jobs::start_answered{.origin = c.origin, .life = life, .run = start->run});
     } else if (const auto* stop = std::get_if<jobs::stop_order>(&c.order.order)) {
-      deliver_after(node, c.order.timeout, jobs::stop_answered{.life = life, .run = stop->run});
+      deliver_after(node, c.order.timeout,
+                    jobs::stop_answered{.origin = c.origin, .life = life, .run = stop->run});
     }
     return;
   }
@@ -409,13 +415,15 @@
     check_runs();
     if (answered) {
       deliver_after(node, network_delay,
-                    jobs::start_answered{.life = life, .run = start->run, .answer = answer});
+                    jobs::start_answered{
+                        .origin = c.origin, .life = life, .run = start->run, .answer = answer});
     }
   } else if (const auto* stop = std::get_if<jobs::stop_order>(&c.order.order)) {
     const auto answer = state.runner.stop(*stop, c.fence, now_);
     if (answered) {
       deliver_after(node, network_delay,
-                    jobs::stop_answered{.life = life, .run = stop->run, .answer = answer});
+                    jobs::stop_answered{
+                        .origin = c.origin, .life = life, .run = stop->run, .answer = answer});
     }
   }
 }
@@ -423,7 +431,7 @@
 void virtual_fleet::look_when_due(int node, const jobs::give_order& c, time_point until) {
   auto& state = workers_.at(static_cast<std::size_t>(std::stoi(c.order.address)));
   const auto& look = std::get<jobs::look_order>(c.order.order);
-  jobs::look_answered event{.life = c.order.life, .sent_at = c.sent_at};
+  jobs::look_answered event{.origin = c.origin, .life = c.order.life, .sent_at = c.sent_at};
   if (!state.reachable) {
     return deliver_after(node, c.order.timeout, std::move(event));
   }
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -28,6 +28,7 @@
   resources capacity{.millicores = 8'000, .memory_mb = 16'000};
   double lost_answers = 0;         // share of orders that are carried out and not answered
   double late_orders = 0;          // share of orders that are carried out seconds later, unanswered
+  double slow_looks = 0;           // share of looks that take most of their time on the way
   double lost_append_answers = 0;  // share of appends that are done and not answered
   double failing_tasks = 0;        // share of runs that end failed
   std::uint32_t max_attempts = 3;
