Count recorded ends for the life of the worker that listed them

Callers could see a task run twice, or its end be lost until it was started again. A worker that restarted meanwhile (milliseconds, or seconds while the store is slow or down) was told to forget ends up to a number of its former life, so that ends of the new life were forgotten unseen.

Evidence: ends_of_a_former_life_that_are_recorded_late_forget_none_of_the_next_life failed on the former code (told to forget up to 9 instead of 0) and passes now.

--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -245,12 +245,12 @@
     stats_.until_recorded.record(now - run->second.began);
     send_due_orders(link->second, now);
   }
-  for (const auto& [worker, number] : effects.ends) {
-    const auto link = links_.find(worker);
-    if (link == links_.end()) continue;
-    link->second.recorded_end = std::max(link->second.recorded_end, number);
-    link->second.next_look = now;
-    send_due_orders(link->second, now);
+  for (const auto& [life, number] : effects.ends) {
+    auto* link = link_of(life);
+    if (link == nullptr) continue;
+    link->recorded_end = std::max(link->recorded_end, number);
+    link->next_look = now;
+    send_due_orders(*link, now);
   }
 }
 
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -131,7 +131,7 @@
   // What may be done once the batch that it belongs to is recorded.
   struct recorded_effects {
     std::vector<std::pair<worker_id, task_key>> starts;
-    std::map<worker_id, std::uint64_t> ends;
+    std::map<worker_life, std::uint64_t> ends;  // highest number by life: each life counts anew
     std::set<job_id> jobs;
     bool empty() const { return starts.empty() && ends.empty() && jobs.empty(); }
   };
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -246,7 +246,7 @@
   for (const auto& row : report.ended) link->seen_end = std::max(link->seen_end, row.number);
   settle_missing(*link, listed, sent_at, now);
   if (link->seen_end != seen_before) {
-    next_.ends[life.worker] = link->seen_end;
+    next_.ends[link->life] = link->seen_end;
   }
   pace_runs(*link, now);
   link->next_look = link->seen_end == link->recorded_end ? now : now + options_.unrecorded_look;
