Raise the fence of orders with each life of a worker

Callers could see a task run twice at once. Cause: a worker that restarts under its id has forgotten its fence and the stops that bar a run. An order for its former life that is carried out late ran in the new life, although the owner had stopped that run and started another one elsewhere.

Change: the fence that a worker is told grows with the owner's fence and, under one owner, with the lives that it has seen. The first look after a restart raises the fence of the new life, and late orders of former lives are rejected. Barring each run by a list of stops was considered; the list would have to outlive the runs by the longest lateness of an order, and the owner.

Evidence: late_orders_for_a_former_life_of_a_worker_do_nothing_in_the_next_one.

--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -31,6 +31,7 @@
                                           .payload = j->accepted.spec.payload,
                                           .lease_end = *lease_end,
                                           .checkpoint = j->tasks[key.index].checkpoint},
+                     .former_lives = link.former_lives,
                      .timeout = options_.order_timeout});
 }
 
@@ -38,6 +39,7 @@
   orders_.push_back({.life = link.life,
                      .address = link.listing->address,
                      .order = stop_order{.run = run},
+                     .former_lives = link.former_lives,
                      .timeout = options_.order_timeout});
 }
 
@@ -60,6 +62,7 @@
                                          .lease_end = renew ? link.lease.extend(now, options_.lease)
                                                             : std::nullopt,
                                          .wait = patient ? look_wait_of(link) : duration{0}},
+                     .former_lives = link.former_lives,
                      .timeout = patient ? options_.look_timeout : options_.order_timeout});
 }
 
@@ -201,6 +204,7 @@
                      .address = link.listing->address,
                      .order = pace_order{.run = {.task = j->ref_of(key.index), .run = run.run},
                                          .percent = run.pace},
+                     .former_lives = link.former_lives,
                      .timeout = options_.order_timeout});
 }
 
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -127,6 +127,7 @@
                   log_value(link.life.worker.value), link.life.incarnation, report.incarnation,
                   link.runs.size()));
   link.life.incarnation = report.incarnation;
+  ++link.former_lives;
   link.lease = lease_clock{now};
   link.seen_end = 0;
   link.recorded_end = 0;
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -261,7 +261,7 @@
   const auto fence = state_.claim.fence;
   for (auto& order : owner_->take_orders()) {
     context_.push(give_order{.origin = {.shard = number_, .fence = fence},
-                             .fence = fence,
+                             .fence = order_fence(fence, order.former_lives),
                              .order = std::move(order),
                              .sent_at = context_.now});
   }
--- a/coltsfoot/jobs/worker_calls.h
+++ b/coltsfoot/jobs/worker_calls.h
@@ -1,6 +1,7 @@
 // Calls of the owner to workers and what workers answer, in the project's own terms.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -40,9 +41,18 @@
   worker_life life;
   std::string address;
   std::variant<start_order, stop_order, look_order, pace_order> order;
+  std::uint32_t former_lives = 0;  // of the worker, that the owner has seen
   duration timeout{0};
 };
 
+// Fence that a worker is told. It grows with the owner's fence and, under one owner, with the lives
+// of the worker: a worker that has restarted has forgotten the stops and the fence of its former
+// life, and an order for that life could otherwise be carried out in the new one.
+constexpr std::uint64_t order_fence(std::uint64_t owner_fence, std::uint32_t former_lives) {
+  constexpr std::uint64_t lives_per_owner = 100;
+  return owner_fence * lives_per_owner + std::min<std::uint64_t>(former_lives, lives_per_owner - 1);
+}
+
 // Whose order it was. A later owner takes no answers to the orders of a former one, though both may
 // have lived in the same process.
 struct order_origin {
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -75,6 +75,7 @@
       : life{.worker = std::move(worker), .incarnation = incarnation}, lease(inherited_until) {}
 
   worker_life life;
+  std::uint32_t former_lives = 0;         // that this owner has seen
   std::optional<worker_listing> listing;  // the newest one
   bool listed = false;                    // the registry lists it now
   lease_clock lease;
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -177,6 +177,21 @@
   EXPECT_TRUE(fleet.broken().empty());
 }
 
+// A restarted worker has forgotten which runs were stopped there.
+TEST(job_fleet_test, late_orders_for_a_former_life_of_a_worker_do_nothing_in_the_next_one) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    virtual_fleet fleet{{.seed = seed, .late_orders = 0.25}};
+    settle(fleet);
+    for (int i = 0; i < 12; ++i) {
+      fleet.submit(0, "j" + std::to_string(i), two_steps(4));
+      fleet.run_for(duration{700});
+      fleet.restart_worker(i % 4);
+    }
+    fleet.run_for(duration{8'000});
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
 TEST(job_fleet_test, a_draining_worker_is_emptied_of_lasting_tasks) {
   virtual_fleet fleet{{}};
   settle(fleet);
