Let shards that lack room get workers from shards that have it

Cause: capacity and jobs were divided once and for good. A job belongs to the shard of its id's hash, a worker to the shard of its rack; long-running jobs are few and large, so that shards fill unevenly, and after a loss of workers the fullest shard has no room for restarts. Ruled out for these tasks: room taken by smaller tasks in the same shard (the other shards were not full), and runs wrongly believed in (the owner listed the tasks as waiting).

Fences in orders grow with the number of transfers first, so that no former owner's order is taken after the hand-over.

--- a/coltsfoot/jobs/job.cc
+++ b/coltsfoot/jobs/job.cc
@@ -34,6 +34,10 @@
   return std::nullopt;
 }
 
+bool occurrence_due(const job_spec& spec, std::uint32_t occurrence, wall_time now) {
+  return !spec.scheduled() || spec.first_start + spec.interval * occurrence <= now;
+}
+
 std::string log_text(const run_ref& run) {
   return fmt::format("job={} task={}.{}.{} run={}", log_value(run.task.job.value),
                      run.task.occurrence, run.task.step, run.task.index, run.run);
--- a/coltsfoot/jobs/job.h
+++ b/coltsfoot/jobs/job.h
@@ -56,6 +56,10 @@
 };
 COLTSFOOT_CODEC(job_spec, payload, steps, repetitions, first_start, interval)
 
+// Whether the tasks of an occurrence may run at `now`. Those of a job without a schedule always
+// may.
+bool occurrence_due(const job_spec& spec, std::uint32_t occurrence, wall_time now);
+
 // Bounds on what one job may hold, so that no job can exhaust a node's memory.
 inline constexpr std::size_t most_payload_bytes = 4'000;
 inline constexpr std::uint32_t most_tasks_per_job = 20'000;
@@ -118,6 +122,7 @@
   bool draining = false;
   resources capacity;
   std::vector<std::string> labels;  // the kind, then the rack
+  std::uint32_t transfers = 0;      // from one shard to another, so far; not told by the registry
 
   std::string_view rack() const { return labels.empty() ? std::string_view{} : labels.back(); }
   bool has_label(std::string_view label) const;
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -39,6 +39,7 @@
     open_shards();
     count_owned_shards();
     extend_layout();
+    balance_shards();
     for (auto& shard : shards_) shard->proceed();
     read_topics();
     update_ready();
@@ -111,8 +112,11 @@
                                              number, layout().shards, layout().racks.size()));
     for (auto& shard : shards_) shard->set_shard_count(layout().shards);
   }
-  if (layout().racks.size() == racks_handed_) return;
+  std::size_t transfers = 0;
+  for (const auto& shard : shards_) transfers += shard->transfers_applied();
+  if (layout().racks.size() == racks_handed_ && transfers == transfers_handed_) return;
   racks_handed_ = layout().racks.size();
+  transfers_handed_ = transfers;
   hand_all_listings();
 }
 
@@ -212,15 +216,33 @@
 
 // A worker whose rack has no shard yet waits for the next layout.
 void job_node::hand_listing(const worker_listing& listing) {
-  const auto number = layout().shard_of_rack(rack_of(listing));
-  if (number && *number < shards_.size()) shards_[*number]->on_listing(listing);
+  const auto place = place_of(listing);
+  if (!place) return;
+  auto placed = listing;
+  placed.transfers = place->transfers;
+  shards_[place->shard]->on_listing(placed);
+}
+
+std::optional<job_node::worker_place> job_node::place_of(const worker_listing& listing) const {
+  const auto first = layout().shard_of_rack(rack_of(listing));
+  if (!first) return std::nullopt;
+  worker_place place{.shard = *first};
+  for (const auto& shard : shards_) {
+    const auto found = shard->transfers().find(listing.id);
+    if (found == shard->transfers().end() || found->second.number <= place.transfers) continue;
+    place = {.shard = found->second.to, .transfers = found->second.number};
+  }
+  if (place.shard >= shards_.size()) return std::nullopt;
+  return place;
 }
 
 void job_node::hand_all_listings() {
   std::vector<std::vector<worker_listing>> parts(shards_.size());
   for (const auto& [id, listing] : registry_) {
-    const auto number = layout().shard_of_rack(rack_of(listing));
-    if (number && *number < parts.size()) parts[*number].push_back(listing);
+    const auto place = place_of(listing);
+    if (!place) continue;
+    parts[place->shard].push_back(listing);
+    parts[place->shard].back().transfers = place->transfers;
   }
   for (std::size_t i = 0; i < shards_.size(); ++i) shards_[i]->on_listings(parts[i]);
 }
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -83,8 +83,17 @@
   void apply_config(const topic_change& change);
   void apply_workers(const topic_change& change);
   void note_listing(const worker_id& id, std::string_view value);
+  // The shard that a worker belongs to now.
+  struct worker_place {
+    shard_number shard = first_shard;
+    std::uint32_t transfers = 0;  // that brought it there
+  };
+  std::optional<worker_place> place_of(const worker_listing& listing) const;
   void hand_listing(const worker_listing& listing);
   void hand_all_listings();
+  void balance_shards();
+  std::vector<shard_load> shard_loads() const;
+  void give_workers(job_shard& giver, std::vector<shard_load>& loads);
   void extend_layout();
   bool first_layout_is_due() const;
 
@@ -101,7 +110,9 @@
   // Listed workers; only kept while this node owns a shard.
   std::map<worker_id, worker_listing> registry_;
   std::size_t owned_before_ = 0;
-  std::size_t racks_handed_ = 0;  // racks of the layout by which listings were handed out
+  std::size_t racks_handed_ = 0;      // racks of the layout by which listings were handed out
+  std::size_t transfers_handed_ = 0;  // transfers that were known then
+  time_point next_balance_{};
   time_point registry_changed_{};
   time_point first_owned_since_{};  // of the first shard
 
--- /dev/null
+++ b/coltsfoot/jobs/job_node_balance.cc
@@ -0,0 +1,62 @@
+// The part of a node that lets the shards it owns give workers to shards which lack room.
+#include <algorithm>
+
+#include "coltsfoot/jobs/job_node.h"
+
+namespace coltsfoot::jobs {
+
+void job_node::balance_shards() {
+  const auto& options = context_.options;
+  if (shards_.size() < 2 || owned_before_ == 0 || context_.now < next_balance_) return;
+  next_balance_ = context_.now + options.balance_interval;
+  // Entries that are only about to come back would make a shard look poor.
+  const bool registry_settled =
+      workers_.caught_up() && context_.now - registry_changed_ >= options.registry_quiet;
+  if (context_.shutting_down || !registry_settled || !journals_are_read()) return;
+  auto loads = shard_loads();
+  for (auto& shard : shards_) {
+    if (shard->is_owner()) give_workers(*shard, loads);
+  }
+}
+
+// By shard; workers on their way to another shard count there.
+std::vector<shard_load> job_node::shard_loads() const {
+  std::vector<shard_load> loads(shards_.size());
+  resources largest;
+  for (const auto& [id, listing] : registry_) {
+    const auto place = place_of(listing);
+    if (!place || listing.draining) continue;
+    loads[place->shard].capacity += listing.capacity;
+    ++loads[place->shard].workers;
+    largest.millicores = std::max(largest.millicores, listing.capacity.millicores);
+    largest.memory_mb = std::max(largest.memory_mb, listing.capacity.memory_mb);
+    largest.accelerators = std::max(largest.accelerators, listing.capacity.accelerators);
+  }
+  for (const auto& shard : shards_) {
+    auto& load = loads[shard->number()];
+    for (const auto& [id, j] : shard->table()) {
+      load.wanted += wanted_room(j, largest, context_.wall);
+    }
+    if (!shard->is_owner()) continue;
+    for (const auto& [listing, to] : shard->owner()->transfers_under_way()) {
+      move_worker(loads, shard->number(), to, listing.capacity);
+    }
+  }
+  return loads;
+}
+
+void job_node::give_workers(job_shard& giver, std::vector<shard_load>& loads) {
+  auto& owner = *giver.owner();
+  const auto racks = wanted_racks(giver.table());
+  while (owner.may_begin_transfer()) {
+    const auto* spare = owner.spare_worker(racks, context_.now);
+    if (spare == nullptr) return;
+    const auto needy =
+        shard_in_need(loads, giver.number(), spare->capacity, context_.options.balance);
+    if (!needy) return;
+    move_worker(loads, giver.number(), *needy, spare->capacity);
+    owner.begin_transfer(spare->id, *needy, context_.now);
+  }
+}
+
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -18,6 +18,7 @@
   rejected += other.rejected;
   unanswered += other.unanswered;
   paces += other.paces;
+  transfers += other.transfers;
   completed += other.completed;
   failed += other.failed;
   until_recorded.merge(other.until_recorded);
@@ -83,8 +84,7 @@
 }
 
 bool job_owner::occurrence_due(const job& j, std::uint32_t occurrence) const {
-  const auto& spec = j.accepted.spec;
-  return !spec.scheduled() || spec.first_start + spec.interval * occurrence <= wall_;
+  return jobs::occurrence_due(j.accepted.spec, occurrence, wall_);
 }
 
 bool job_owner::has_waiting_task(const job& j) const {
@@ -228,6 +228,7 @@
     if (const auto* j = table_.find(id)) records.push_back(progress_record(*j));
   }
   std::move(removals_.begin(), removals_.end(), std::back_inserter(records));
+  for (const auto& transfer : next_.transfers) records.push_back(transfer_record(transfer));
   removals_.clear();
   dirty_.clear();
   in_flight_ = std::exchange(next_, {});
@@ -252,6 +253,13 @@
     link->next_look = now;
     send_due_orders(*link, now);
   }
+  for (const auto& transfer : effects.transfers) {
+    ++stats_.transfers;
+    log(severity::info,
+        fmt::format("event=worker_transferred worker={} to_shard={} number={}",
+                    log_value(transfer.worker.value), transfer.to, transfer.number));
+    links_.erase(transfer.worker);
+  }
 }
 
 job_state job_owner::visible_state(const job& j) const {
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -48,9 +48,11 @@
   duration stall_limit{2'500};    // a run without any progress is started elsewhere
   duration avoid_after_failures{2'000};
   std::uint32_t most_failures_in_a_row = 3;
-  duration keep_ended{125'000};    // how long an ended job can be asked for
-  duration starved_after{1'000};   // without a run, while a task of the job could be started
-  duration drain_patience{1'200};  // runs that should end by then stay on a worker that drains
+  duration keep_ended{125'000};       // how long an ended job can be asked for
+  duration starved_after{1'000};      // without a run, while a task of the job could be started
+  duration drain_patience{1'200};     // runs that should end by then stay on a worker that drains
+  duration transfer_patience{6'000};  // for the runs of a worker that is to be transferred
+  std::size_t most_transfers_at_once = 4;
 };
 
 struct job_owner_stats {
@@ -62,6 +64,7 @@
   std::uint64_t rejected = 0;    // starts that a worker rejected
   std::uint64_t unanswered = 0;  // orders without an answer
   std::uint64_t paces = 0;       // orders to work slower or faster
+  std::uint64_t transfers = 0;   // workers given to other shards
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
   latency_histogram until_recorded;  // of a start, from its placing
@@ -100,6 +103,16 @@
   // Places waiting tasks. Call it when the next batch can be appended.
   void place(time_point now, wall_time wall);
 
+  // --- Transfers of workers to other shards ---
+  // Returns a worker that can be given away soon, or null. None near the data of `wanted_racks`.
+  const worker_listing* spare_worker(const std::set<std::string>& wanted_racks,
+                                     time_point now) const;
+  // Empties a worker and then records its transfer.
+  void begin_transfer(const worker_id& worker, shard_number to, time_point now);
+  // Workers on their way to other shards.
+  std::vector<std::pair<worker_listing, shard_number>> transfers_under_way() const;
+  bool may_begin_transfer() const;
+
   // --- Journal ---
   bool has_batch() const { return !dirty_.empty() || !removals_.empty() || !next_.empty(); }
   std::vector<keyed_record> take_batch();
@@ -133,7 +146,10 @@
     std::vector<std::pair<worker_id, task_key>> starts;
     std::map<worker_life, std::uint64_t> ends;  // highest number by life: each life counts anew
     std::set<job_id> jobs;
-    bool empty() const { return starts.empty() && ends.empty() && jobs.empty(); }
+    std::vector<worker_transfer> transfers;
+    bool empty() const {
+      return starts.empty() && ends.empty() && jobs.empty() && transfers.empty();
+    }
   };
 
   // Jobs.
@@ -177,6 +193,7 @@
                       time_point now);
   void stop_run(worker_link& link, const task_key& key, time_point now);
   void drain_runs(worker_link& link, time_point now);
+  void settle_transfer(worker_link& link, time_point now);
   void tend_workers(time_point now);
   void tend_worker(worker_link& link, time_point now);
   void send_due_orders(worker_link& link, time_point now);
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -32,6 +32,7 @@
                                           .lease_end = *lease_end,
                                           .checkpoint = j->tasks[key.index].checkpoint},
                      .former_lives = link.former_lives,
+                     .transfers = link.listing->transfers,
                      .timeout = options_.order_timeout});
 }
 
@@ -40,6 +41,7 @@
                      .address = link.listing->address,
                      .order = stop_order{.run = run},
                      .former_lives = link.former_lives,
+                     .transfers = link.listing->transfers,
                      .timeout = options_.order_timeout});
 }
 
@@ -63,6 +65,7 @@
                                                             : std::nullopt,
                                          .wait = patient ? look_wait_of(link) : duration{0}},
                      .former_lives = link.former_lives,
+                     .transfers = link.listing->transfers,
                      .timeout = patient ? options_.look_timeout : options_.order_timeout});
 }
 
@@ -205,14 +208,15 @@
                      .order = pace_order{.run = {.task = j->ref_of(key.index), .run = run.run},
                                          .percent = run.pace},
                      .former_lives = link.former_lives,
+                     .transfers = link.listing->transfers,
                      .timeout = options_.order_timeout});
 }
 
 void job_owner::on_pace_answer(const worker_life& life, const run_ref& ref,
                                const order_answer& answer) {
-  if (answer.verdict == order_verdict::fenced) fenced_ = true;
   auto* link = link_of(life);
   if (link == nullptr || answer.verdict == order_verdict::accepted) return;
+  if (answer.verdict == order_verdict::fenced) fenced_ = true;
   task_key key;
   auto* run = run_of(*link, ref, key);
   if (run != nullptr) run->pace_unsure = true;
--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -88,5 +88,12 @@
   EXPECT_EQ(std::get<look_order>(look->order).forget_up_to, 0U);
 }
 
+// A worker would carry out an order of a former shard, owner or life of its own.
+TEST(order_fence_test, grows_with_the_transfers_then_the_owner_then_the_lives_of_a_worker) {
+  EXPECT_LT(order_fence(0, 7, 0), order_fence(0, 7, 1));
+  EXPECT_LT(order_fence(0, 7, 5'000), order_fence(0, 8, 0));
+  EXPECT_LT(order_fence(0, 999'999, 99), order_fence(1, 1, 0));
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -429,6 +429,7 @@
     note_worker_failure(link, now);
     stop_run(link, key, now);
   }
+  settle_transfer(link, now);
   send_due_orders(link, now);
 }
 
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -11,6 +11,7 @@
 constexpr std::string_view acceptance_prefix = "acceptance/";
 constexpr std::string_view cancellation_prefix = "cancellation/";
 constexpr std::string_view progress_prefix = "progress/";
+constexpr std::string_view transfer_prefix = "transfer/";
 constexpr std::string_view claim_key = "owner";
 constexpr std::string_view layout_key = "layout";
 
@@ -169,6 +170,15 @@
   return {.key = std::string{layout_key}, .value = encode_msgpack(layout)};
 }
 
+keyed_record transfer_record(const worker_transfer& transfer) {
+  return {.key = std::string{transfer_prefix} + transfer.worker.value,
+          .value = encode_msgpack(transfer)};
+}
+
+bool is_transfer(const keyed_record& record) {
+  return record.key.starts_with(transfer_prefix);
+}
+
 std::vector<keyed_record> removal_records(const job_id& id) {
   return {{.key = std::string{progress_prefix} + id.value},
           {.key = std::string{cancellation_prefix} + id.value},
@@ -218,6 +228,13 @@
     }
     return applied_record{.kind = record_kind::progress, .job = *id};
   }
+  if (is_transfer(record)) {
+    auto decoded = decode_msgpack<worker_transfer>(record.value);
+    if (!decoded) return tl::unexpected(record_error{decoded.error().message});
+    auto& newest = state.transfers[decoded->worker];
+    if (decoded->number > newest.number) newest = std::move(*decoded);
+    return applied_record{.kind = record_kind::transfer};
+  }
   return tl::unexpected(record_error{"unknown key"});
 }
 
--- a/coltsfoot/jobs/job_record.h
+++ b/coltsfoot/jobs/job_record.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -37,6 +38,16 @@
 };
 COLTSFOOT_CODEC(owner_claim, fence, node, life, peer_address, resigned, strength)
 
+// A worker that a shard has given to another one. It stands in the journal of the giver. Of several
+// transfers of one worker, the one with the highest number counts.
+struct worker_transfer {
+  worker_id worker;
+  shard_number to = first_shard;
+  std::uint32_t number = 0;  // 1 for the first transfer of the worker
+  friend bool operator==(const worker_transfer&, const worker_transfer&) = default;
+};
+COLTSFOOT_CODEC(worker_transfer, worker, to, number)
+
 struct record_error {
   std::string message;
 };
@@ -46,13 +57,15 @@
 keyed_record progress_record(const job& j);
 keyed_record claim_record(const owner_claim& claim);
 keyed_record layout_record(const fleet_layout& layout);
+keyed_record transfer_record(const worker_transfer& transfer);
+bool is_transfer(const keyed_record& record);
 
 // Records that drop all that the journal holds of a job.
 std::vector<keyed_record> removal_records(const job_id& id);
 
-enum class record_kind { acceptance, cancellation, progress, claim, layout };
+enum class record_kind { acceptance, cancellation, progress, claim, layout, transfer };
 
-// What a record changed. `job` is empty for a claim and for a layout.
+// What a record changed. `job` is empty for a claim, a layout and a transfer.
 struct applied_record {
   record_kind kind = record_kind::acceptance;
   job_id job;
@@ -65,8 +78,9 @@
 // What the journal of a shard says.
 struct journal_state {
   job_table table;
-  owner_claim claim;    // the newest
-  fleet_layout layout;  // of the first shard's journal
+  owner_claim claim;                               // the newest
+  fleet_layout layout;                             // of the first shard's journal
+  std::map<worker_id, worker_transfer> transfers;  // the newest that this shard has made
 };
 
 // Applies a record to `state`. A record that can't be read changes nothing.
--- a/coltsfoot/jobs/job_record_test.cc
+++ b/coltsfoot/jobs/job_record_test.cc
@@ -108,5 +108,17 @@
   RC_ASSERT(copy.table.find(job_id{"k"}) == nullptr);
 }
 
+TEST(job_record_test, the_transfer_with_the_highest_number_counts) {
+  journal_state state;
+  const worker_id worker{"w"};
+  const worker_transfer second{.worker = worker, .to = 2, .number = 2};
+  for (const auto& transfer : {second, worker_transfer{.worker = worker, .to = 1, .number = 1}}) {
+    ASSERT_TRUE(apply_record(transfer_record(transfer), state, {}));
+  }
+  EXPECT_EQ(state.transfers.at(worker), second);
+  EXPECT_TRUE(is_transfer(transfer_record(second)));
+  EXPECT_FALSE(apply_record({.key = "transfer/w", .value = "?"}, state, {}));
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -146,6 +146,9 @@
       return;
     case record_kind::layout:
       return;
+    case record_kind::transfer:
+      ++transfers_applied_;
+      return;
     case record_kind::claim:
       owner_seen_ = context_.now;
       return on_claim_read(fence_before);
@@ -261,7 +264,7 @@
   const auto fence = state_.claim.fence;
   for (auto& order : owner_->take_orders()) {
     context_.push(give_order{.origin = {.shard = number_, .fence = fence},
-                             .fence = order_fence(fence, order.former_lives),
+                             .fence = order_fence(order.transfers, fence, order.former_lives),
                              .order = std::move(order),
                              .sent_at = context_.now});
   }
@@ -307,6 +310,13 @@
       .timeout = context_.options.append_timeout});
 }
 
+// The transfers of an owner count from their record on, not only once it has read them.
+void job_shard::apply_transfers(const std::vector<keyed_record>& records) {
+  for (const auto& record : records) {
+    if (is_transfer(record)) apply(record);
+  }
+}
+
 void job_shard::on_owner_append_ended(append_verdict verdict) {
   owner_append_call_ = 0;
   if (!owner_) return;
@@ -314,6 +324,7 @@
     case append_verdict::recorded:
       ++owner_sequence_;
       owner_batch_open_ = false;
+      apply_transfers(owner_batch_);
       owner_batch_.clear();
       last_owner_record_ = context_.now;
       next_owner_append_ = context_.now + append_gap_;
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -49,6 +49,10 @@
   const job_table& table() const { return state_.table; }
   const owner_claim& claim() const { return state_.claim; }
   const fleet_layout& layout() const { return state_.layout; }
+  // Workers that this shard has given to others, as far as this node has read.
+  const std::map<worker_id, worker_transfer>& transfers() const { return state_.transfers; }
+  // Grows with each transfer that is read or made.
+  std::size_t transfers_applied() const { return transfers_applied_; }
   job_owner* owner() { return owner_ ? &*owner_ : nullptr; }
   const job_owner* owner() const { return owner_ ? &*owner_ : nullptr; }
   bool is_owner() const { return owner_.has_value(); }
@@ -101,6 +105,7 @@
   void write_owner_batch();
   bool take_owner_batch();
   void on_owner_append_ended(append_verdict verdict);
+  void apply_transfers(const std::vector<keyed_record>& records);
 
   void log(severity level, const std::string& text) const;
 
@@ -108,6 +113,7 @@
   shard_number number_;
   journal_state state_;
   topic_follower journal_;
+  std::size_t transfers_applied_ = 0;
   time_point owner_seen_;     // when a record of the owner was read
   time_point claim_read_at_;  // when the newest claim was read
   std::size_t owner_load_ = 1;
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -11,6 +11,7 @@
 #include "coltsfoot/jobs/job_owner.h"
 #include "coltsfoot/jobs/node_messages.h"
 #include "coltsfoot/jobs/owner_election.h"
+#include "coltsfoot/jobs/shard_balance.h"
 #include "coltsfoot/jobs/topic_follower.h"
 
 namespace coltsfoot::jobs {
@@ -54,6 +55,8 @@
   duration drain_time{4'000};       // from the shutdown's start to the end of the process
   duration registry_quiet{500};     // without a new worker, a first layout is decided
   duration layout_patience{6'000};  // from the start of the first owner to the first layout
+  balance_options balance;
+  duration balance_interval{500};
 };
 
 struct job_node_stats {
--- /dev/null
+++ b/coltsfoot/jobs/shard_balance.cc
@@ -0,0 +1,66 @@
+#include "coltsfoot/jobs/shard_balance.h"
+
+namespace coltsfoot::jobs {
+
+void move_worker(std::vector<shard_load>& loads, shard_number from, shard_number to,
+                 const resources& capacity) {
+  loads.at(from).capacity -= capacity;
+  --loads.at(from).workers;
+  loads.at(to).capacity += capacity;
+  ++loads.at(to).workers;
+}
+
+resources wanted_room(const job& j, const resources& largest, wall_time now) {
+  resources wanted;
+  if (j.ended() || j.cancel_requested) return wanted;
+  const auto& spec = j.accepted.spec;
+  task_index first = 0;
+  for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+    if (!occurrence_due(spec, occurrence, now)) break;
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+      const auto& of_step = spec.steps[step];
+      const auto last = first + of_step.count;
+      const bool counts =
+          !of_step.fill && of_step.demand.fits_in(largest) && j.step_ready(occurrence, step);
+      for (auto i = first; counts && i < last; ++i) {
+        if (j.tasks[i].phase != task_phase::done) wanted += of_step.demand;
+      }
+      first = last;
+    }
+  }
+  return wanted;
+}
+
+std::set<std::string> wanted_racks(const job_table& table) {
+  std::set<std::string> racks;
+  for (const auto& [id, j] : table) {
+    if (j.ended()) continue;
+    for (const auto& step : j.accepted.spec.steps) {
+      if (!step.data_label.empty()) racks.insert(step.data_label);
+    }
+  }
+  return racks;
+}
+
+std::optional<shard_number> shard_in_need(const std::vector<shard_load>& loads, shard_number own,
+                                          const resources& capacity,
+                                          const balance_options& options) {
+  const auto& giver = loads.at(own);
+  if (giver.workers <= 1) return std::nullopt;
+  const auto share_after_giving = dominant_share(giver.wanted, giver.capacity - capacity);
+  std::optional<shard_number> neediest;
+  double largest_share = 0;
+  for (shard_number shard = 0; shard < loads.size(); ++shard) {
+    const auto& load = loads[shard];
+    if (shard == own || load.workers >= options.most_workers) continue;
+    if (dominant_share(load.wanted, load.capacity) <= options.needy_above) continue;
+    const auto share_after_getting = dominant_share(load.wanted, load.capacity + capacity);
+    if (share_after_giving + options.least_difference >= share_after_getting) continue;
+    if (share_after_getting <= largest_share) continue;
+    neediest = shard;
+    largest_share = share_after_getting;
+  }
+  return neediest;
+}
+
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/worker_calls.h
+++ b/coltsfoot/jobs/worker_calls.h
@@ -42,15 +42,20 @@
   std::string address;
   std::variant<start_order, stop_order, look_order, pace_order> order;
   std::uint32_t former_lives = 0;  // of the worker, that the owner has seen
+  std::uint32_t transfers = 0;     // of the worker, between shards
   duration timeout{0};
 };
 
-// Fence that a worker is told. It grows with the owner's fence and, under one owner, with the lives
-// of the worker: a worker that has restarted has forgotten the stops and the fence of its former
-// life, and an order for that life could otherwise be carried out in the new one.
-constexpr std::uint64_t order_fence(std::uint64_t owner_fence, std::uint32_t former_lives) {
-  constexpr std::uint64_t lives_per_owner = 100;
-  return owner_fence * lives_per_owner + std::min<std::uint64_t>(former_lives, lives_per_owner - 1);
+// Fence that a worker is told. It grows with each transfer of the worker to another shard, whose
+// owners count fences of their own; within a shard with the owner's fence; and under one owner with
+// the lives of the worker. A worker that has restarted has forgotten the stops and the fence of its
+// former life, and an order for that life could otherwise be carried out in the new one.
+constexpr std::uint64_t order_fence(std::uint32_t transfers, std::uint64_t owner_fence,
+                                    std::uint32_t former_lives) {
+  constexpr std::uint64_t fences_per_transfer = 1'000'000;
+  constexpr std::uint64_t lives_per_fence = 100;
+  return (transfers * fences_per_transfer + owner_fence) * lives_per_fence +
+         std::min<std::uint64_t>(former_lives, lives_per_fence - 1);
 }
 
 // Whose order it was. A later owner takes no answers to the orders of a former one, though both may
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -26,6 +26,7 @@
                      .accelerators = step.demand.accelerators},
           .fill_millicores = step.fill ? step.demand.millicores : 0,
           .serves = step.serves(),
+          .long_running = step.long_running,
           .image = step.image,
           .response_target = step.response_target,
           .began = now};
@@ -74,6 +75,7 @@
 std::optional<placing_obstacle> worker_link::obstacle(time_point now) const {
   if (!listed) return placing_obstacle::unlisted;
   if (listing->draining) return placing_obstacle::draining;
+  if (transfer) return placing_obstacle::transfer;
   if (now < avoid_until) return placing_obstacle::avoided;
   const bool answers = failed_looks == 0 && last_contact && now - *last_contact < contact_limit;
   if (!answers) return placing_obstacle::silent;
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "coltsfoot/base/name_table.h"
+#include "coltsfoot/jobs/fleet_layout.h"
 #include "coltsfoot/jobs/lease_clock.h"
 #include "coltsfoot/jobs/worker_calls.h"
 
@@ -43,6 +44,7 @@
   resources demand;            // held room; a filling task holds no processors
   std::int64_t fill_millicores = 0;
   bool serves = false;
+  bool long_running = false;
   std::string image;
   duration response_target{0};  // of a serving task
   double headroom = 0;          // of a serving task: target over tail, smoothed; 0: unknown
@@ -66,6 +68,7 @@
   worker_limit,  // as many tasks of the step run there as may
   memory,        // too little is free, accelerators included
   processors,    // too few are free
+  transfer,      // it is being emptied for another shard
   kept_room,     // the room left is kept for short tasks
   interference   // serving tasks there would miss their targets
 };
@@ -99,6 +102,14 @@
   std::uint64_t recorded_end = 0;  // ends up to this number are in the journal
   std::uint32_t failed_looks = 0;  // in a row
 
+  // Set while the worker is being emptied for another shard.
+  struct transfer_under_way {
+    shard_number to = first_shard;
+    time_point give_up{};    // unless it is empty by then
+    bool recording = false;  // the transfer is on its way to the journal
+  };
+  std::optional<transfer_under_way> transfer;
+
   // Trouble.
   std::uint32_t failures_in_a_row = 0;
   time_point avoid_until{};
@@ -131,6 +142,7 @@
       std::pair{jobs::placing_obstacle::worker_limit, std::string_view{"worker_limit"}},
       std::pair{jobs::placing_obstacle::memory, std::string_view{"memory"}},
       std::pair{jobs::placing_obstacle::processors, std::string_view{"processors"}},
+      std::pair{jobs::placing_obstacle::transfer, std::string_view{"transfer"}},
       std::pair{jobs::placing_obstacle::kept_room, std::string_view{"kept_room"}},
       std::pair{jobs::placing_obstacle::interference, std::string_view{"interference"}}};
 };
--- a/tests/jobs/shard_room_test.cc
+++ b/tests/jobs/shard_room_test.cc
@@ -77,5 +77,83 @@
   }
 }
 
+// Submits a job until it is accepted: answers of the store can be lost.
+void submit_until_accepted(virtual_fleet& fleet, const std::string& name,
+                           const jobs::job_spec& spec) {
+  const auto accepted = [&](call_id call) {
+    const auto* answer = fleet.answer_of(call);
+    return answer != nullptr && answer->verdict == jobs::caller_verdict::accepted;
+  };
+  for (int i = 0; i < 10; ++i) {
+    const auto call = fleet.submit(0, name, spec);
+    if (fleet.run_until([&] { return accepted(call); }, duration{1'000})) return;
+  }
+  ADD_FAILURE() << name << " was not accepted";
+}
+
+std::size_t transfers(const virtual_fleet& fleet) {
+  std::size_t sum = 0;
+  for (const auto& shard : fleet.node(0).shards()) sum += shard->transfers().size();
+  return sum;
+}
+
+// A worker with two owners would start a task twice, or turn a rightful owner away.
+TEST(shard_room_test, promises_hold_while_workers_change_shards_in_series_of_troubles) {
+  std::size_t transferred = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    auto options = four_shards(seed);
+    options.lost_answers = 0.03;
+    options.late_orders = 0.03;
+    options.lost_append_answers = 0.03;
+    options.failing_tasks = 0.02;
+    options.max_attempts = 6;
+    virtual_fleet fleet{options};
+    random_engine random{seed};
+    settle(fleet);
+    const auto names = names_in_first_shard(fleet, 15);
+    std::vector<std::string> lasting_names;
+    std::vector<std::pair<call_id, std::string>> submitted;
+    for (std::size_t round = 0; round < names.size(); ++round) {
+      const auto& name = names[round];
+      const int caller = static_cast<int>(random() % 6);
+      if (round < 5) {
+        lasting_names.push_back(name);
+        submit_until_accepted(fleet, name, lasting(8));
+      } else {
+        jobs::job_spec spec{.payload = "p", .steps = {{.count = 6}}};
+        spec.steps[0].demand = {.millicores = 1'000, .memory_mb = 500};
+        spec.steps[0].estimate = duration{600};
+        submitted.emplace_back(fleet.submit(caller, name, spec), name);
+      }
+      // The first node stays, so that it can be asked at any time.
+      const int node = 1 + static_cast<int>(random() % 5);
+      const int worker = static_cast<int>(random() % 16);
+      const auto trouble = random() % 8;
+      if (trouble == 0) fleet.kill_node(node);
+      if (trouble == 1) fleet.freeze_node(node, true);
+      if (trouble == 2) fleet.cut_store(node, true);
+      if (trouble == 3) fleet.set_worker_reachable(worker, false);
+      if (trouble == 4) fleet.restart_worker(worker);
+      if (trouble == 5) fleet.compact_store();
+      fleet.run_for(duration{static_cast<int>(200 + random() % 2'500)});
+      if (trouble == 0) fleet.start_node(node);
+      if (trouble == 1) fleet.freeze_node(node, false);
+      if (trouble == 2) fleet.cut_store(node, false);
+      if (trouble == 3) fleet.set_worker_reachable(worker, true);
+    }
+    fleet.run_for(duration{15'000});
+    for (const auto& [call, name] : submitted) {
+      const auto* answer = fleet.answer_of(call);
+      if (answer == nullptr || answer->verdict != jobs::caller_verdict::accepted) continue;
+      EXPECT_TRUE(fleet.reaches(0, name, jobs::job_state::completed, duration{8'000}))
+          << name << " seed " << seed;
+    }
+    EXPECT_EQ(running(fleet, lasting_names), 40U) << "seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+    transferred += transfers(fleet);
+  }
+  EXPECT_GT(transferred, 30U);
+}
+
 }  // namespace
 }  // namespace coltsfoot::testing
