Believe a worker's own word on its life rather than an entry of the registry

Another writer's entry under the id of a worker, with a start time far in the future, kept that worker out for good at an owner that had not met it yet (a new owner, or a new worker): entries and answers with the true, lower start time were dropped as those of a former life. The look that was answered was sent again at once, without a pause.

Change: while a worker has neither answered nor runs anything, its life is only what the registry says; a later entry and its own answer replace it. A dropped answer leads to the next look after the usual pause.

Tests: two in job_owner_test, both seen red on the former code.

--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -88,6 +88,39 @@
   EXPECT_EQ(std::get<look_order>(look->order).forget_up_to, 0U);
 }
 
+// Another writer's entry under the id of a worker must not keep the worker's own entries out.
+TEST_F(job_owner_test, a_worker_is_used_after_an_entry_with_a_life_that_is_far_too_late) {
+  worker_listing listing{.id = worker_id{"x"},
+                         .incarnation = 9'000'000'000'000'000,
+                         .service = service_id{"s"},
+                         .address = "a",
+                         .capacity = {.millicores = 8'000, .memory_mb = 1'000},
+                         .labels = {"a", "r"}};
+  owner_->on_listing(listing, now_);
+  listing.incarnation = 5;
+  owner_->on_listing(listing, now_);
+  pass(duration{100});
+  look_answer answer{.verdict = order_verdict::accepted,
+                     .report = {.clock = 1'000, .incarnation = 5}};
+  owner_->on_look_answer({.worker = listing.id, .incarnation = 5}, answer, now_, now_);
+  EXPECT_TRUE(owner_->links().at(listing.id).usable(now_));
+}
+
+TEST_F(job_owner_test, the_word_of_a_worker_counts_more_than_an_entry_with_a_later_life) {
+  worker_listing listing{.id = worker_id{"x"},
+                         .incarnation = 9'000'000'000'000'000,
+                         .service = service_id{"s"},
+                         .address = "a",
+                         .labels = {"a", "r"}};
+  owner_->on_listing(listing, now_);
+  look_answer answer{.verdict = order_verdict::accepted,
+                     .report = {.clock = 1'000, .incarnation = 5}};
+  owner_->on_look_answer({.worker = listing.id, .incarnation = listing.incarnation}, answer, now_,
+                         now_);
+  EXPECT_EQ(owner_->links().at(listing.id).life.incarnation, 5U);
+  EXPECT_TRUE(owner_->links().at(listing.id).usable(now_));
+}
+
 // A worker would carry out an order of a former shard, owner or life of its own.
 TEST(order_fence_test, grows_with_the_transfers_then_the_owner_then_the_lives_of_a_worker) {
   EXPECT_LT(order_fence(0, 7, 0), order_fence(0, 7, 1));
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -18,6 +18,11 @@
 constexpr std::size_t most_tended_at_once = 64;
 constexpr std::size_t turns_for_all = 8;
 
+// Whether the worker's life is known from the registry only, to which others write too.
+bool is_unproved(const worker_link& link) {
+  return !link.last_contact && link.runs.empty();
+}
+
 // Weight of a new figure beside the former ones, which it replaces with this time constant.
 double weight_of_newest(duration since_former) {
   constexpr double time_constant_ms = 500;
@@ -38,7 +43,12 @@
         fmt::format("event=worker_listed worker={} incarnation={} address={}",
                     log_value(listing.id.value), listing.incarnation, log_value(listing.address)));
   }
-  if (listing.incarnation < link.life.incarnation) return;  // an entry of a former life
+  if (listing.incarnation < link.life.incarnation) {
+    if (!is_unproved(link)) return;  // an entry of a former life
+    // The entry before this one may have come from another writer.
+    link.life.incarnation = listing.incarnation;
+    link.looking = false;
+  }
   // The worker itself says what of the former life's orders reached the new one.
   if (listing.incarnation > link.life.incarnation) link.next_look = now;
   const bool was_draining = link.listing && link.listing->draining;
@@ -225,7 +235,11 @@
     return;
   }
   const auto& report = answer.report;
-  if (report.incarnation != 0 && report.incarnation < link->life.incarnation) return;
+  if (report.incarnation != 0 && report.incarnation < link->life.incarnation) {
+    link->next_look = now + options_.look_retry;
+    if (!is_unproved(*link)) return;
+    link->life.incarnation = report.incarnation;
+  }
   if (report.incarnation > link->life.incarnation) change_life(*link, report, now);
   if (link->failed_looks >= 2) {
     log(severity::info, fmt::format("event=worker_regained worker={} failed_looks={}",
