--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -88,6 +88,20 @@
   EXPECT_EQ(std::get<look_order>(look->order).forget_up_to, 0U);
 }
 
+TEST_F(job_owner_test, a_worker_on_its_way_to_another_shard_gets_no_task_when_it_is_listed_again) {
+  const auto listing = *owner_->links().at(worker).listing;
+  answer_look(1, 1, {});
+  owner_->begin_transfer(worker, 1, now_);
+  owner_->on_unlisted(worker);
+  pass(duration{100});
+  owner_->on_listing(listing, now_);
+  answer_look(1, 1, {});
+  owner_->place(now_, wall_);
+  EXPECT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::waiting);
+  record();
+  EXPECT_FALSE(owner_->links().contains(worker));
+}
+
 // Another writer's entry under the id of a worker must not keep the worker's own entries out.
 TEST_F(job_owner_test, a_worker_is_used_after_an_entry_with_a_life_that_is_far_too_late) {
   worker_listing listing{.id = worker_id{"x"},
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -420,7 +420,8 @@
     if (at == links_.end()) at = links_.begin();
     last_tended_ = at->first;
     tend_worker(at->second, now);
-    const bool unused = !at->second.listed && at->second.runs.empty();
+    // A worker whose transfer is on its way to the journal stays known, lest it be used again.
+    const bool unused = !at->second.listed && at->second.runs.empty() && !at->second.transfer;
     at = unused ? links_.erase(at) : std::next(at);
   }
 }
