--- a/benchmarks/job_owner_benchmark.cc
+++ b/benchmarks/job_owner_benchmark.cc
@@ -108,7 +108,7 @@
                    .latency_target = duration{1'000},
                    .accepted_at = wall(),
                    .spec = std::move(spec)});
-    timed([&] { owner_->on_accepted(id); });
+    timed([&] { owner_->on_accepted(id, now_); });
   }
 
   void round() {
