Leave implausible capacities out of what shards have

Found by the review of the transfers. A single entry of another writer with boundless room would have made its shard look empty: the shard would have got no workers and given away its own. Workers that claim more than four times the median are left out; boundless_capacity_is_not_plausible tests the bound.

--- a/coltsfoot/jobs/job_node_balance.cc
+++ b/coltsfoot/jobs/job_node_balance.cc
@@ -23,9 +23,13 @@
 std::vector<shard_load> job_node::shard_loads() const {
   std::vector<shard_load> loads(shards_.size());
   resources largest;
+  std::vector<resources> capacities;
+  capacities.reserve(registry_.size());
+  for (const auto& [id, listing] : registry_) capacities.push_back(listing.capacity);
+  const auto plausible = plausible_capacity(capacities);
   for (const auto& [id, listing] : registry_) {
     const auto place = place_of(listing);
-    if (!place || listing.draining) continue;
+    if (!place || listing.draining || !listing.capacity.fits_in(plausible)) continue;
     loads[place->shard].capacity += listing.capacity;
     ++loads[place->shard].workers;
     largest.millicores = std::max(largest.millicores, listing.capacity.millicores);
--- a/coltsfoot/jobs/shard_balance.cc
+++ b/coltsfoot/jobs/shard_balance.cc
@@ -1,7 +1,27 @@
 #include "coltsfoot/jobs/shard_balance.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace coltsfoot::jobs {
 
+resources plausible_capacity(const std::vector<resources>& capacities) {
+  constexpr std::int64_t times_median = 4;
+  if (capacities.empty()) return {};
+  const auto bound = [&](std::int64_t resources::* kind) {
+    std::vector<std::int64_t> amounts;
+    amounts.reserve(capacities.size());
+    for (const auto& capacity : capacities) amounts.push_back(capacity.*kind);
+    const auto median = amounts.begin() + static_cast<std::ptrdiff_t>(amounts.size() / 2);
+    std::nth_element(amounts.begin(), median, amounts.end());
+    return *median * times_median;
+  };
+  return {.millicores = bound(&resources::millicores),
+          .memory_mb = bound(&resources::memory_mb),
+          // Accelerators are on few workers as a rule, so that their median tells nothing.
+          .accelerators = std::numeric_limits<std::int64_t>::max()};
+}
+
 void move_worker(std::vector<shard_load>& loads, shard_number from, shard_number to,
                  const resources& capacity) {
   loads.at(from).capacity -= capacity;
--- a/coltsfoot/jobs/shard_balance.h
+++ b/coltsfoot/jobs/shard_balance.h
@@ -34,6 +34,10 @@
   std::size_t most_workers = 192;
 };
 
+// The most that a single worker is believed to have: some times the median of each kind. An entry
+// of another writer with boundless room would make its shard look empty.
+resources plausible_capacity(const std::vector<resources>& capacities);
+
 // Counts a worker in another shard.
 void move_worker(std::vector<shard_load>& loads, shard_number from, shard_number to,
                  const resources& capacity);
--- a/coltsfoot/jobs/shard_balance_test.cc
+++ b/coltsfoot/jobs/shard_balance_test.cc
@@ -57,6 +57,16 @@
   EXPECT_EQ(shard_in_need({shard_with(3, 0.5), shard_load{.wanted = worker}}, 0, worker), 1U);
 }
 
+// One such entry would draw workers away from a shard that has no room to spare.
+TEST(shard_balance_test, boundless_capacity_is_not_plausible) {
+  const std::vector<resources> capacities{
+      worker, worker, worker, {.millicores = 1'000'000'000, .memory_mb = 1}};
+  const auto plausible = plausible_capacity(capacities);
+  EXPECT_TRUE(worker.fits_in(plausible));
+  EXPECT_FALSE(capacities.back().fits_in(plausible));
+  EXPECT_EQ(plausible_capacity({}), resources{});
+}
+
 TEST(shard_balance_test, tasks_that_fill_or_fit_nowhere_want_no_room) {
   step_spec step{.count = 3, .demand = {.millicores = 8'000, .memory_mb = 1'000}};
   EXPECT_EQ(wanted_room(job_with(step), worker, wall).millicores, 24'000);
