Remember the lives of workers that are not listed any more

A worker that had restarted under an owner, was unlisted while idle and listed again got orders with a lower fence, rejected them, and the owner stepped down for a successor that did not exist. Likewise a worker that restarted while it was unlisted got the fence of its former life.

Test: fences_do_not_fall_when_a_restarted_worker_is_unlisted_and_listed_again, seen red with the former behaviour.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -141,6 +141,12 @@
     resources demand;
   };
 
+  // Lives of a worker that this owner has given orders to.
+  struct remembered_lives {
+    std::uint64_t incarnation = 0;  // the newest
+    std::uint32_t former = 0;
+  };
+
   // What may be done once the batch that it belongs to is recorded.
   struct recorded_effects {
     std::vector<std::pair<worker_id, task_key>> starts;
@@ -193,6 +199,7 @@
                       time_point now);
   void stop_run(worker_link& link, const task_key& key, time_point now);
   void drain_runs(worker_link& link, time_point now);
+  void forget_link(worker_links::iterator at);
   void settle_transfer(worker_link& link, time_point now);
   void tend_workers(time_point now);
   void tend_worker(worker_link& link, time_point now);
@@ -217,6 +224,7 @@
   wall_time wall_;  // of the last tick
   time_point inherited_until_;
   worker_links links_;
+  std::map<worker_id, remembered_lives> remembered_;  // of workers that have no link any more
   interference_model model_{{}};
   estimate_correction correction_;
   std::map<job_id, time_point> waiting_;  // open jobs with a task that could be placed, since when
--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -102,6 +102,25 @@
   EXPECT_FALSE(owner_->links().contains(worker));
 }
 
+// The worker would reject a lower fence, and the owner would believe that another one has come.
+TEST_F(job_owner_test, fences_do_not_fall_when_a_restarted_worker_is_unlisted_and_listed_again) {
+  auto listing = *owner_->links().at(worker).listing;
+  answer_look(1, 1, {});
+  answer_look(1, 2, {});
+  EXPECT_EQ(owner_->links().at(worker).former_lives, 1U);
+  listing.incarnation = 2;
+  owner_->on_unlisted(worker);
+  pass(duration{100});
+  ASSERT_FALSE(owner_->links().contains(worker));
+  owner_->on_listing(listing, now_);
+  EXPECT_EQ(owner_->links().at(worker).former_lives, 1U);
+  owner_->on_unlisted(worker);
+  pass(duration{100});
+  listing.incarnation = 3;
+  owner_->on_listing(listing, now_);
+  EXPECT_EQ(owner_->links().at(worker).former_lives, 2U);
+}
+
 // Another writer's entry under the id of a worker must not keep the worker's own entries out.
 TEST_F(job_owner_test, a_worker_is_used_after_an_entry_with_a_life_that_is_far_too_late) {
   worker_listing listing{.id = worker_id{"x"},
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -39,6 +39,11 @@
   if (fresh) {
     // Another owner may have granted a lease here without having recorded a run.
     link.lease = lease_clock{inherited_until_};
+    const auto known = remembered_.find(listing.id);
+    if (known != remembered_.end()) {
+      const bool restarted = listing.incarnation > known->second.incarnation;
+      link.former_lives = known->second.former + (restarted ? 1 : 0);
+    }
     log(severity::info,
         fmt::format("event=worker_listed worker={} incarnation={} address={}",
                     log_value(listing.id.value), listing.incarnation, log_value(listing.address)));
@@ -422,10 +427,19 @@
     tend_worker(at->second, now);
     // A worker whose transfer is on its way to the journal stays known, lest it be used again.
     const bool unused = !at->second.listed && at->second.runs.empty() && !at->second.transfer;
-    at = unused ? links_.erase(at) : std::next(at);
+    const auto next = std::next(at);
+    if (unused) forget_link(at);
+    at = next;
   }
 }
 
+// The fences of a worker must not fall when it is listed again.
+void job_owner::forget_link(worker_links::iterator at) {
+  const auto& [id, link] = *at;
+  remembered_[id] = {.incarnation = link.life.incarnation, .former = link.former_lives};
+  links_.erase(at);
+}
+
 void job_owner::tend_worker(worker_link& link, time_point now) {
   const bool silent = link.failed_looks > 0 || !link.last_contact || !link.listing;
   if (silent && now >= link.lease.lapses_at() && !link.runs.empty()) {
