Test that long-running tasks do not stay away while the fleet has room for them (red)

The virtual fleet now checks the users' rule itself: a long-running task that has run and is away for 6 s, although for 3 s, after 4 s of calm, workers of any shard had room for it twice over. Long-running tasks of the fake workers may fail, as the users say.

No logic changes.

--- /dev/null
+++ b/tests/jobs/absent_task_test.cc
@@ -0,0 +1,146 @@
+// Long-running tasks that are not started again although workers of the fleet have room for them.
+#include <gtest/gtest.h>
+
+#include "tests/jobs/virtual_fleet.h"
+
+namespace coltsfoot::testing {
+namespace {
+
+// Four shards with four workers of eight cores each.
+fleet_options four_shards(std::uint64_t seed) {
+  return {.nodes = 6, .workers = 16, .seed = seed, .workers_per_shard = 4};
+}
+
+jobs::job_spec lasting(std::uint32_t width, std::int64_t millicores) {
+  jobs::job_spec spec{.payload = "p", .steps = {{.count = width}}};
+  spec.steps[0].demand = {.millicores = millicores, .memory_mb = 500};
+  spec.steps[0].estimate = duration{100};
+  spec.steps[0].long_running = true;
+  return spec;
+}
+
+void settle(virtual_fleet& fleet) {
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{8'000}));
+  fleet.run_for(duration{500});
+}
+
+// A name that has not been used and that the layout gives to `shard`.
+class job_names {
+ public:
+  explicit job_names(const virtual_fleet& fleet)
+      : layout_(fleet.node(0).shards().front()->layout()) {}
+
+  std::string next(jobs::shard_number shard) {
+    std::string name;
+    do {
+      name = "j" + std::to_string(used_++);
+    } while (layout_.shard_of_job(jobs::job_id{name}, {}) != shard);
+    return name;
+  }
+
+ private:
+  jobs::fleet_layout layout_;
+  int used_ = 0;
+};
+
+// Every worker runs a long-running task that leaves three cores; those of the first shard have too
+// little left for one more of 2.2 cores.
+void fill_first_shard(virtual_fleet& fleet, job_names& names) {
+  for (jobs::shard_number shard = 0; shard < 4; ++shard) {
+    const auto name = names.next(shard);
+    fleet.submit(0, name, lasting(4, 5'000));
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.running(name) == 4; }, duration{4'000}));
+  }
+  const auto rest = names.next(jobs::first_shard);
+  fleet.submit(0, rest, lasting(4, 2'200));
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.running(rest) == 4; }, duration{4'000}));
+}
+
+TEST(absent_task_test, tasks_of_a_lost_worker_run_on_busy_workers_of_another_shard) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    virtual_fleet fleet{four_shards(seed)};
+    settle(fleet);
+    job_names names{fleet};
+    fill_first_shard(fleet, names);
+    for (int worker = 0; worker < 16; ++worker) {
+      if (fleet.worker(worker).runs().size() < 2) continue;
+      fleet.set_worker_reachable(worker, false);
+      break;
+    }
+    fleet.run_for(duration{20'000});
+    EXPECT_TRUE(fleet.absences().broken().empty())
+        << *fleet.absences().broken().begin() << " seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
+// Draws of one seed.
+class draws {
+ public:
+  explicit draws(std::uint64_t seed) : random_(seed) {}
+
+  int between(int low, int high) {
+    return low + static_cast<int>(random_() % static_cast<unsigned>(high - low + 1));
+  }
+
+ private:
+  random_engine random_;
+};
+
+// Submits long-running jobs until they want `share` of the processors of four_shards, most of them
+// in the first shard, which they fill before the others.
+void submit_uneven_load(virtual_fleet& fleet, job_names& names, draws& draw, double share) {
+  const auto most = static_cast<std::int64_t>(share * 16 * 64'000);
+  std::int64_t wanted = 0;
+  while (wanted < most) {
+    const auto width = draw.between(2, 8);
+    const auto millicores = draw.between(6, 20) * 1'000;
+    wanted += std::int64_t{width} * millicores;
+    const auto shard = static_cast<jobs::shard_number>(std::max(0, draw.between(-1, 3)));
+    fleet.submit(draw.between(0, 5), names.next(shard),
+                 lasting(static_cast<std::uint32_t>(width), millicores));
+    fleet.run_for(duration{draw.between(50, 300)});
+  }
+}
+
+// Loads of all shards differ, tasks fail, and workers are lost, some of them for good.
+TEST(absent_task_test, no_task_stays_away_with_room_for_it_in_series_of_losses) {
+  duration longest{0};
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    auto options = four_shards(seed);
+    options.lost_answers = 0.02;
+    options.failing_tasks = 0.1;
+    options.max_attempts = 9;
+    options.capacity = {.millicores = 64'000, .memory_mb = 250'000};
+    virtual_fleet fleet{options};
+    draws draw{seed};
+    settle(fleet);
+    job_names names{fleet};
+    submit_uneven_load(fleet, names, draw, 0.86);
+    for (int round = 0; round < 24; ++round) {
+      jobs::job_spec brief{.payload = "p", .steps = {{.count = 3}}};
+      brief.steps[0].demand = {.millicores = 8'000, .memory_mb = 2'000};
+      brief.steps[0].estimate = duration{640};
+      const auto shard = static_cast<jobs::shard_number>(draw.between(0, 3));
+      fleet.submit(draw.between(0, 5), names.next(shard), brief);
+      if (round == 4) fleet.set_worker_reachable(draw.between(0, 15), false);
+      if (round == 10) {
+        const int worker = draw.between(0, 15);
+        fleet.restart_worker(worker);
+        fleet.set_worker_reachable(worker, false);
+        fleet.run_for(duration{draw.between(500, 6'000)});
+        fleet.set_worker_reachable(worker, true);
+      }
+      fleet.run_for(duration{draw.between(300, 1'500)});
+    }
+    fleet.run_for(duration{15'000});
+    longest = std::max(longest, fleet.absences().longest_absence());
+    EXPECT_TRUE(fleet.absences().broken().empty())
+        << *fleet.absences().broken().begin() << " seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+  std::cout << "longest absence: " << longest.count() << " ms\n";
+}
+
+}  // namespace
+}  // namespace coltsfoot::testing
--- a/tests/jobs/fake_runner.cc
+++ b/tests/jobs/fake_runner.cc
@@ -89,12 +89,15 @@
 void fake_runner::advance(time_point now) {
   std::vector<jobs::task_ref> over;
   const bool lapsed = clock(now) > lease_end_;
+  const auto has_ended = [now](const running& run) {
+    return now >= run.ends && (!run.work.lasts || run.work.fails);
+  };
   for (const auto& [task, run] : runs_) {
-    if (lapsed || (!run.work.lasts && now >= run.ends)) over.push_back(task);
+    if (lapsed || has_ended(run)) over.push_back(task);
   }
   for (const auto& task : over) {
     const auto& run = runs_.at(task);
-    const bool done = !run.work.lasts && now >= run.ends && !lapsed;
+    const bool done = has_ended(run) && !lapsed;
     end(task, !done ? run_end::lapsed : run.work.fails ? run_end::failed : run_end::done);
   }
 }
--- a/tests/jobs/fake_runner.h
+++ b/tests/jobs/fake_runner.h
@@ -16,7 +16,7 @@
   duration length{0};
   resources demand;
   bool fills = false;
-  bool lasts = false;
+  bool lasts = false;  // ends by itself only if it fails
   bool fails = false;
 };
 
@@ -47,12 +47,12 @@
     time_point ends;
   };
   const std::map<jobs::task_ref, running>& runs() const { return runs_; }
+  resources free() const;
 
  private:
   jobs::worker_clock clock(time_point now) const;
   void end(const jobs::task_ref& task, jobs::run_end how);
   bool takes(std::uint64_t fence);
-  resources free() const;
 
   worker_id id_;
   resources capacity_;
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -18,6 +18,7 @@
 constexpr duration slow_network_delay{600};
 constexpr duration append_time{5};
 constexpr duration worker_beat{1'000};
+constexpr duration absence_interval{250};
 constexpr std::string_view service = "svc";
 
 // The fakes write entries in a form of their own: the platform's is tested with its folder.
@@ -70,6 +71,7 @@
                                [this](const auto& run) { return work_of(run); }, now_}});
   }
   beat();
+  check_absences();
   nodes_.resize(static_cast<std::size_t>(options.nodes));
   for (int i = 0; i < options.nodes; ++i) start_node(i);
 }
@@ -121,10 +123,12 @@
 }
 
 void virtual_fleet::kill_node(int node) {
+  absences_.on_trouble(now_);
   nodes_.at(static_cast<std::size_t>(node)) = {.life = ++last_life_};
 }
 
 void virtual_fleet::freeze_node(int node, bool frozen) {
+  absences_.on_trouble(now_);
   auto& state = nodes_.at(static_cast<std::size_t>(node));
   state.frozen = frozen;
   if (frozen) return;
@@ -132,10 +136,12 @@
 }
 
 void virtual_fleet::cut_store(int node, bool cut) {
+  absences_.on_trouble(now_);
   nodes_.at(static_cast<std::size_t>(node)).store_cut = cut;
 }
 
 void virtual_fleet::ask_shutdown(int node) {
+  absences_.on_trouble(now_);
   deliver(node, jobs::shutdown_asked{});
 }
 
@@ -197,6 +203,7 @@
 
 void virtual_fleet::list_worker(int worker, bool draining) {
   auto& state = workers_.at(static_cast<std::size_t>(worker));
+  if (state.draining != draining) absences_.on_trouble(now_);
   state.draining = draining;
   store_.put(jobs::store_topic::workers, state.runner.id().value,
              encode_worker(state.runner, worker, draining));
@@ -210,12 +217,14 @@
 }
 
 void virtual_fleet::set_worker_reachable(int worker, bool reachable) {
+  absences_.on_trouble(now_);
   auto& state = workers_.at(static_cast<std::size_t>(worker));
   state.reachable = reachable;
   if (!reachable) store_.put(jobs::store_topic::workers, state.runner.id().value, "");
 }
 
 void virtual_fleet::restart_worker(int worker) {
+  absences_.on_trouble(now_);
   workers_.at(static_cast<std::size_t>(worker)).runner.restart(now_);
 }
 
@@ -231,7 +240,9 @@
       fmt::format("{}.{}.{}.{}", run.task.occurrence, run.task.step, run.task.index, run.run));
   constexpr std::uint64_t grain = 10'000;
   const bool fails = static_cast<double>(seed % grain) < options_.failing_tasks * grain;
-  return {.length = step.estimate,
+  // A long-running task may fail at any time.
+  const duration until_failure{2'000 + static_cast<std::int64_t>(seed % 5'000)};
+  return {.length = step.long_running ? until_failure : step.estimate,
           .demand = step.demand,
           .fills = step.fill,
           .lasts = step.long_running,
@@ -268,6 +279,36 @@
   }
 }
 
+bool virtual_fleet::is_expected(const std::string& job) const {
+  return accepted_.contains(job) &&
+         std::none_of(cancels_.begin(), cancels_.end(),
+                      [&](const auto& call) { return call.second == job; });
+}
+
+void virtual_fleet::check_absences() {
+  std::set<jobs::task_ref> running;
+  std::vector<resources> free;
+  for (auto& worker : workers_) {
+    worker.runner.advance(now_);
+    for (const auto& [task, run] : worker.runner.runs()) running.insert(task);
+    if (worker.reachable && !worker.draining) free.push_back(worker.runner.free());
+  }
+  std::vector<watched_task> tasks;
+  for (const auto& [id, spec] : specs_) {
+    if (!is_expected(id)) continue;
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+      if (!spec.steps[step].long_running) continue;
+      for (std::uint32_t i = 0; i < spec.steps[step].count; ++i) {
+        const jobs::task_ref task{.job = jobs::job_id{id}, .step = step, .index = i};
+        tasks.push_back(
+            {.task = task, .demand = spec.steps[step].demand, .running = running.contains(task)});
+      }
+    }
+  }
+  absences_.observe(free, tasks, now_);
+  after(absence_interval, [this] { check_absences(); });
+}
+
 // --- Callers ---
 
 call_id virtual_fleet::ask(int node, const std::string& id, jobs::caller_action action,
@@ -284,7 +325,11 @@
 
 call_id virtual_fleet::submit(int node, const std::string& id, jobs::job_spec spec) {
   specs_[id] = spec;
-  return ask(node, id, jobs::caller_action::submit, std::move(spec));
+  const auto call = ask(node, id, jobs::caller_action::submit, std::move(spec));
+  submits_[call] = id;
+  const auto* answer = answer_of(call);
+  if (answer != nullptr && answer->verdict == jobs::caller_verdict::accepted) accepted_.insert(id);
+  return call;
 }
 
 call_id virtual_fleet::cancel(int node, const std::string& id) {
@@ -330,6 +375,10 @@
 
 void virtual_fleet::run(int /*node*/, const jobs::answer_caller_call& c) {
   answers_[c.call] = c.answer;
+  const auto submit = submits_.find(c.call);
+  if (submit != submits_.end() && c.answer.verdict == jobs::caller_verdict::accepted) {
+    accepted_.insert(submit->second);
+  }
   const auto cancel = cancels_.find(c.call);
   if (cancel != cancels_.end() && c.answer.verdict == jobs::caller_verdict::cancelled) {
     cancelled_.try_emplace(cancel->second, now_);
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -16,6 +16,7 @@
 
 #include "coltsfoot/base/random.h"
 #include "coltsfoot/jobs/job_node.h"
+#include "tests/jobs/absence_watch.h"
 #include "tests/jobs/fake_runner.h"
 #include "tests/jobs/fake_store.h"
 
@@ -58,12 +59,18 @@
   void start_node(int node);
   void freeze_node(int node, bool frozen);
   void cut_store(int node, bool cut);
-  void set_store_down(bool down) { store_down_ = down; }
+  void set_store_down(bool down) {
+    absences_.on_trouble(now_);
+    store_down_ = down;
+  }
   void ask_shutdown(int node);
   void set_worker_reachable(int worker, bool reachable);
   void restart_worker(int worker);
   void list_worker(int worker, bool draining);
-  void compact_store() { store_.compact(); }
+  void compact_store() {
+    absences_.on_trouble(now_);
+    store_.compact();
+  }
 
   // Number of the owner, or -1 if there is none or several nodes believe to be it.
   int owner() const;
@@ -72,6 +79,8 @@
   time_point now() const { return now_; }
   const std::set<std::string>& broken() const { return broken_; }
   std::size_t starts() const { return starts_; }
+  // Whether long-running tasks of accepted jobs ran where there was room for them.
+  const absence_watch& absences() const { return absences_; }
   // Runs of a job that are on a worker now.
   std::size_t running(const std::string& id) const;
   const jobs::job_node& node(int number) const { return *nodes_.at(number).core; }
@@ -123,6 +132,8 @@
   task_work work_of(const jobs::run_ref& run);
   void check_start(const jobs::run_ref& run, bool late);
   void check_runs();
+  void check_absences();
+  bool is_expected(const std::string& job) const;
   bool chance(double share);
 
   fleet_options options_;
@@ -137,6 +148,9 @@
   std::map<std::string, jobs::job_spec> specs_;
   std::map<std::string, time_point> cancelled_;  // when the cancellation was confirmed
   std::map<call_id, std::string> cancels_;       // calls that cancel
+  std::map<call_id, std::string> submits_;       // calls that submit
+  std::set<std::string> accepted_;               // jobs of which a caller was told so
+  absence_watch absences_{{}};
   std::map<call_id, jobs::caller_answer> answers_;
   std::map<std::pair<int, call_id>, std::pair<int, call_id>> peer_calls_;  // receiver's to sender's
   std::set<jobs::task_ref> done_;  // ends that the owner had told a worker to forget
