Hand long-running tasks to shards that have room for them

Cause: a job stays in the shard that its id names, a worker in the shard of its rack. In a fleet that is almost full every worker runs some; the room that they have left, in pieces, served its own shard only.

Ruled out for nearly all of these waits: room denied by a policy (16 of 1,043 task_waits lines name an avoided worker), a run that is wrongly believed in (the tasks are listed as waiting).

Change: a long-running task that has waited for 1 s goes to the shard with the most workers that have room for it. Its owner records it as elsewhere, together with a numbered handover; the other owner reads that, keeps a partial copy of the job and starts the task with the next run number.

--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -35,6 +35,7 @@
   page.add_counter("task_ends_total", stats.ends_other, exposition_label("end", "other"));
   page.add_counter("task_paces_total", stats.paces);
   page.add_counter("worker_transfers_total", stats.transfers);
+  page.add_counter("task_handovers_total", stats.handovers);
   page.add_counter("runs_lost_total", stats.runs_lost);
   page.add_counter("starts_rejected_total", stats.rejected);
   page.add_counter("orders_unanswered_total", stats.unanswered);
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -40,6 +40,7 @@
     count_owned_shards();
     extend_layout();
     balance_shards();
+    hand_over_tasks();
     for (auto& shard : shards_) shard->proceed();
     read_topics();
     update_ready();
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -19,6 +19,7 @@
 
 #include "coltsfoot/jobs/job_shard.h"
 #include "coltsfoot/jobs/node_context.h"
+#include "coltsfoot/jobs/shard_rooms.h"
 
 namespace coltsfoot::jobs {
 
@@ -94,6 +95,12 @@
   void balance_shards();
   std::vector<shard_load> shard_loads() const;
   void give_workers(job_shard& giver, std::vector<shard_load>& loads);
+  resources plausible_worker_capacity() const;
+  void hand_over_tasks();
+  void take_tasks(job_shard& receiver);
+  void withdraw_tasks(job_shard& holder);
+  void give_tasks(job_shard& giver, std::optional<shard_rooms>& rooms);
+  shard_rooms free_rooms() const;
   void extend_layout();
   bool first_layout_is_due() const;
 
@@ -113,6 +120,7 @@
   std::size_t racks_handed_ = 0;      // racks of the layout by which listings were handed out
   std::size_t transfers_handed_ = 0;  // transfers that were known then
   time_point next_balance_{};
+  time_point next_handover_{};
   time_point registry_changed_{};
   time_point first_owned_since_{};  // of the first shard
 
--- a/coltsfoot/jobs/job_node_balance.cc
+++ b/coltsfoot/jobs/job_node_balance.cc
@@ -19,14 +19,18 @@
   }
 }
 
+resources job_node::plausible_worker_capacity() const {
+  std::vector<resources> capacities;
+  capacities.reserve(registry_.size());
+  for (const auto& [id, listing] : registry_) capacities.push_back(listing.capacity);
+  return plausible_capacity(capacities);
+}
+
 // By shard; workers on their way to another shard count there.
 std::vector<shard_load> job_node::shard_loads() const {
   std::vector<shard_load> loads(shards_.size());
   resources largest;
-  std::vector<resources> capacities;
-  capacities.reserve(registry_.size());
-  for (const auto& [id, listing] : registry_) capacities.push_back(listing.capacity);
-  const auto plausible = plausible_capacity(capacities);
+  const auto plausible = plausible_worker_capacity();
   for (const auto& [id, listing] : registry_) {
     const auto place = place_of(listing);
     if (!place || listing.draining || !listing.capacity.fits_in(plausible)) continue;
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -66,7 +66,10 @@
 
 job_node::found_job job_node::find(const job_id& id) {
   for (auto& shard : shards_) {
-    if (const auto* known = shard->table().find(id)) return {.shard = shard.get(), .record = known};
+    const auto* known = shard->table().find(id);
+    if (known != nullptr && !known->accepted.partial) {
+      return {.shard = shard.get(), .record = known};
+    }
   }
   return {};
 }
--- /dev/null
+++ b/coltsfoot/jobs/job_node_handovers.cc
@@ -0,0 +1,131 @@
+// The part of a node that lets long-running tasks go to shards which have room for them.
+#include <algorithm>
+
+#include "coltsfoot/jobs/job_node.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+resources held_by(const step_spec& step) {
+  auto held = step.demand;
+  if (step.fill) held.millicores = 0;
+  return held;
+}
+
+task_need need_of(const job& j, task_index index) {
+  return {.step = &j.step_of(j.ref_of(index)),
+          .service = j.accepted.service,
+          .has_run = j.tasks[index].run > 0};
+}
+
+// Calls `visit(j, index)` for the tasks of open jobs that are in `phase`.
+template <typename F>
+void for_each_task(const job_table& table, task_phase phase, F&& visit) {
+  for (const auto& [id, j] : table) {
+    if (j.ended() || j.cancel_requested) continue;
+    for (task_index i = 0; i < j.tasks.size(); ++i) {
+      if (j.tasks[i].phase == phase) visit(j, i);
+    }
+  }
+}
+
+// Calls `visit(j, index, handover)` for the handovers of a shard's journal that lead elsewhere.
+template <typename F>
+void for_each_handover(const job_shard& from, F&& visit) {
+  for (const auto& [id, j] : from.table()) {
+    if (j.ended() || j.cancel_requested) continue;
+    for (const auto& [index, handover] : j.handovers) {
+      if (handover.to != from.number()) visit(j, index, handover);
+    }
+  }
+}
+
+// The number of the newest handover of a task that a shard knows.
+std::uint32_t newest_number(const job_table& table, const job_id& id, task_index index) {
+  const auto* known = table.find(id);
+  if (known == nullptr) return 0;
+  const auto found = known->handovers.find(index);
+  return found == known->handovers.end() ? 0 : found->second.number;
+}
+
+}  // namespace
+
+void job_node::hand_over_tasks() {
+  if (shards_.size() < 2 || owned_before_ == 0 || context_.now < next_handover_) return;
+  if (!journals_are_read()) return;
+  next_handover_ = context_.now + context_.options.handover_interval;
+  for (auto& shard : shards_) {
+    if (!shard->is_owner()) continue;
+    take_tasks(*shard);
+    withdraw_tasks(*shard);
+  }
+  if (context_.shutting_down) return;
+  std::optional<shard_rooms> rooms;  // made when a task needs them
+  for (auto& shard : shards_) {
+    if (shard->is_owner()) give_tasks(*shard, rooms);
+  }
+}
+
+void job_node::take_tasks(job_shard& receiver) {
+  for (const auto& from : shards_) {
+    for_each_handover(*from, [&](const job& j, task_index index, const task_handover& handover) {
+      if (handover.to != receiver.number()) return;
+      receiver.owner()->take_over(j, index, handover, context_.now);
+    });
+  }
+}
+
+// Ends partial copies of jobs that have ended or were cancelled in their own shard.
+void job_node::withdraw_tasks(job_shard& holder) {
+  std::vector<job_id> over;
+  for (const auto& [id, j] : holder.table()) {
+    if (!j.accepted.partial || j.ended() || j.cancel_requested) continue;
+    const auto own = find(id);
+    const bool ended = own.record != nullptr ? own.record->ended() || own.record->cancel_requested
+                                             : journals_are_fresh();
+    if (ended) over.push_back(id);
+  }
+  for (const auto& id : over) holder.owner()->withdraw(id, context_.now);
+}
+
+void job_node::give_tasks(job_shard& giver, std::optional<shard_rooms>& rooms) {
+  auto& owner = *giver.owner();
+  for (const auto& key : owner.tasks_without_room(context_.now)) {
+    if (!rooms) rooms = free_rooms();
+    const auto need = need_of(*giver.table().find(key.job), key.index);
+    const auto to = rooms->best_for(need, giver.number());
+    if (!to) continue;
+    rooms->reserve(*to, need);
+    owner.hand_over(key, *to, context_.now);
+  }
+}
+
+// What the journals leave free, less the room that long-running tasks wait for in each shard.
+shard_rooms job_node::free_rooms() const {
+  shard_rooms rooms{shards_.size()};
+  const auto plausible = plausible_worker_capacity();
+  for (const auto& [id, listing] : registry_) {
+    const auto place = place_of(listing);
+    if (!place || listing.draining || !listing.capacity.fits_in(plausible)) continue;
+    rooms.add_worker(place->shard, listing);
+  }
+  for (const auto& shard : shards_) {
+    for_each_task(shard->table(), task_phase::assigned, [&](const job& j, task_index index) {
+      rooms.take(j.tasks[index].life.worker, held_by(j.step_of(j.ref_of(index))));
+    });
+  }
+  for (const auto& shard : shards_) {
+    for_each_task(shard->table(), task_phase::waiting, [&](const job& j, task_index index) {
+      const auto need = need_of(j, index);
+      if (need.step->long_running) rooms.reserve(shard->number(), need);
+    });
+    for_each_handover(*shard, [&](const job& j, task_index index, const task_handover& handover) {
+      if (handover.to >= shards_.size()) return;
+      const auto known = newest_number(shards_[handover.to]->table(), j.accepted.id, index);
+      if (known < handover.number) rooms.reserve(handover.to, need_of(j, index));
+    });
+  }
+  return rooms;
+}
+
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -19,6 +19,7 @@
   unanswered += other.unanswered;
   paces += other.paces;
   transfers += other.transfers;
+  handovers += other.handovers;
   completed += other.completed;
   failed += other.failed;
   until_recorded.merge(other.until_recorded);
@@ -213,7 +214,7 @@
     if (j.ended() && j.ended_at + options_.keep_ended < wall_) expired.push_back(id);
   }
   for (const auto& id : expired) {
-    for (auto& record : removal_records(id)) removals_.push_back(std::move(record));
+    for (auto& record : removal_records(*table_.find(id))) removals_.push_back(std::move(record));
     dirty_.erase(id);
     table_.forget(id);
   }
@@ -224,9 +225,18 @@
 std::vector<keyed_record> job_owner::take_batch() {
   std::vector<keyed_record> records;
   records.reserve(dirty_.size() + removals_.size());
+  for (const auto& id : std::exchange(new_copies_, {})) {
+    if (const auto* j = table_.find(id)) records.push_back(acceptance_record(j->accepted));
+  }
   for (const auto& id : dirty_) {
     if (const auto* j = table_.find(id)) records.push_back(progress_record(*j));
   }
+  // After the progress, which the receiver needs to know.
+  for (const auto& key : std::exchange(handed_over_, {})) {
+    const auto* j = table_.find(key.job);
+    if (j == nullptr) continue;
+    records.push_back(handover_record(key.job, key.index, j->handovers.at(key.index)));
+  }
   std::move(removals_.begin(), removals_.end(), std::back_inserter(records));
   for (const auto& transfer : next_.transfers) records.push_back(transfer_record(transfer));
   removals_.clear();
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -53,6 +53,9 @@
   duration drain_patience{1'200};     // runs that should end by then stay on a worker that drains
   duration transfer_patience{6'000};  // for the runs of a worker that is to be transferred
   std::size_t most_transfers_at_once = 4;
+  // A long-running task that waits this long for room may go to another shard.
+  duration handover_patience{1'000};
+  std::size_t most_handovers_at_once = 16;
 };
 
 struct job_owner_stats {
@@ -65,6 +68,7 @@
   std::uint64_t unanswered = 0;  // orders without an answer
   std::uint64_t paces = 0;       // orders to work slower or faster
   std::uint64_t transfers = 0;   // workers given to other shards
+  std::uint64_t handovers = 0;   // tasks given to other shards
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
   latency_histogram until_recorded;  // of a start, from its placing
@@ -113,6 +117,18 @@
   std::vector<std::pair<worker_listing, shard_number>> transfers_under_way() const;
   bool may_begin_transfer() const;
 
+  // --- Handovers of long-running tasks between shards ---
+  // Tasks that have waited long enough for room in this shard.
+  std::vector<task_key> tasks_without_room(time_point now) const;
+  // Leaves a waiting task to another shard.
+  void hand_over(const task_key& key, shard_number to, time_point now);
+  // Takes a task that another shard has handed to this one, unless that was done before. `source`
+  // is the job in that shard.
+  void take_over(const job& source, task_index index, const task_handover& handover,
+                 time_point now);
+  // Stops the tasks of a partial copy: the job has ended or was cancelled.
+  void withdraw(const job_id& id, time_point now);
+
   // --- Journal ---
   bool has_batch() const { return !dirty_.empty() || !removals_.empty() || !next_.empty(); }
   std::vector<keyed_record> take_batch();
@@ -201,6 +217,7 @@
   void drain_runs(worker_link& link, time_point now);
   void forget_link(worker_links::iterator at);
   void settle_transfer(worker_link& link, time_point now);
+  job& add_partial_copy(const job& source);
   void tend_workers(time_point now);
   void tend_worker(worker_link& link, time_point now);
   void send_due_orders(worker_link& link, time_point now);
@@ -237,7 +254,9 @@
   std::set<job_id> cancelling_;                // cancelled jobs with runs that have not ended
   std::set<job_id> scheduled_;                 // jobs with occurrences that are not due yet
 
-  std::set<job_id> dirty_;  // progress to be recorded
+  std::set<job_id> dirty_;          // progress to be recorded
+  std::set<job_id> new_copies_;     // partial copies to be recorded
+  std::set<task_key> handed_over_;  // tasks with a handover to be recorded
   std::vector<keyed_record> removals_;
   recorded_effects next_;       // of the batch that will be taken next
   recorded_effects in_flight_;  // of the batch that is being appended
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -1,5 +1,6 @@
 #include "coltsfoot/jobs/job_record.h"
 
+#include <charconv>
 #include <map>
 #include <optional>
 
@@ -11,6 +12,7 @@
 constexpr std::string_view acceptance_prefix = "acceptance/";
 constexpr std::string_view cancellation_prefix = "cancellation/";
 constexpr std::string_view progress_prefix = "progress/";
+constexpr std::string_view handover_prefix = "handover/";
 constexpr std::string_view transfer_prefix = "transfer/";
 constexpr std::string_view claim_key = "owner";
 constexpr std::string_view layout_key = "layout";
@@ -65,7 +67,7 @@
 
 bool read_task(byte_reader& rows, const std::vector<worker_life>& lives, task_progress& task) {
   const auto phase = rows.number();
-  if (phase > static_cast<std::uint64_t>(task_phase::failed)) return false;
+  if (phase > static_cast<std::uint64_t>(task_phase::elsewhere)) return false;
   task.phase = static_cast<task_phase>(phase);
   task.run = static_cast<run_number>(rows.number());
   task.failures = static_cast<std::uint32_t>(rows.number());
@@ -141,6 +143,48 @@
   return job_id{std::string{key.substr(prefix.size())}};
 }
 
+std::string handover_key(const job_id& id, task_index task) {
+  return std::string{handover_prefix} + id.value + "/" + std::to_string(task);
+}
+
+struct handover_name {
+  job_id job;
+  task_index task = 0;
+};
+
+std::optional<handover_name> handover_of(std::string_view key) {
+  if (!key.starts_with(handover_prefix)) return std::nullopt;
+  key.remove_prefix(handover_prefix.size());
+  const auto slash = key.rfind('/');
+  if (slash == std::string_view::npos) return std::nullopt;
+  const auto number = key.substr(slash + 1);
+  handover_name name{.job = job_id{std::string{key.substr(0, slash)}}};
+  const auto [end, error] =
+      std::from_chars(number.data(), number.data() + number.size(), name.task);
+  if (error != std::errc{} || end != number.data() + number.size()) return std::nullopt;
+  return name;
+}
+
+// A handover of a job that is not known any more changes nothing.
+tl::expected<applied_record, record_error> apply_handover(const handover_name& name,
+                                                          std::string_view value,
+                                                          job_table& table) {
+  const applied_record applied{.kind = record_kind::handover, .job = name.job};
+  auto* known = table.find(name.job);
+  if (known == nullptr) return applied;
+  if (value.empty()) {
+    known->handovers.erase(name.task);
+    return applied;
+  }
+  auto decoded = decode_msgpack<task_handover>(value);
+  if (!decoded) return tl::unexpected(record_error{decoded.error().message});
+  const auto tasks = known->tasks_per_occurrence() * known->accepted.spec.occurrences();
+  if (name.task >= tasks) return tl::unexpected(record_error{"no such task"});
+  auto& newest = known->handovers[name.task];
+  if (decoded->number > newest.number) newest = std::move(*decoded);
+  return applied;
+}
+
 }  // namespace
 
 keyed_record acceptance_record(const accepted_job& accepted) {
@@ -162,6 +206,10 @@
   return {.key = std::string{progress_prefix} + j.accepted.id.value, .value = out.take()};
 }
 
+keyed_record handover_record(const job_id& id, task_index task, const task_handover& handover) {
+  return {.key = handover_key(id, task), .value = encode_msgpack(handover)};
+}
+
 keyed_record claim_record(const owner_claim& claim) {
   return {.key = std::string{claim_key}, .value = encode_msgpack(claim)};
 }
@@ -179,10 +227,15 @@
   return record.key.starts_with(transfer_prefix);
 }
 
-std::vector<keyed_record> removal_records(const job_id& id) {
-  return {{.key = std::string{progress_prefix} + id.value},
-          {.key = std::string{cancellation_prefix} + id.value},
-          {.key = std::string{acceptance_prefix} + id.value}};
+std::vector<keyed_record> removal_records(const job& j) {
+  const auto& id = j.accepted.id;
+  std::vector<keyed_record> records;
+  for (const auto& [task, handover] : j.handovers)
+    records.push_back({.key = handover_key(id, task)});
+  records.push_back({.key = std::string{progress_prefix} + id.value});
+  records.push_back({.key = std::string{cancellation_prefix} + id.value});
+  records.push_back({.key = std::string{acceptance_prefix} + id.value});
+  return records;
 }
 
 tl::expected<applied_record, record_error> apply_record(const keyed_record& record,
@@ -228,6 +281,7 @@
     }
     return applied_record{.kind = record_kind::progress, .job = *id};
   }
+  if (const auto name = handover_of(record.key)) return apply_handover(*name, record.value, table);
   if (is_transfer(record)) {
     auto decoded = decode_msgpack<worker_transfer>(record.value);
     if (!decoded) return tl::unexpected(record_error{decoded.error().message});
--- a/coltsfoot/jobs/job_record.h
+++ b/coltsfoot/jobs/job_record.h
@@ -3,6 +3,7 @@
 //   acceptance/<job>    written once by the node that accepted the job
 //   cancellation/<job>  written by the node that took the cancellation
 //   progress/<job>      written by the owner only, the whole progress each time
+//   handover/<job>/<n>  task n has gone to another shard, or has come from one
 //   owner               the newest claim of the ownership
 //   layout              how the fleet is divided; in the journal of the first shard
 //
@@ -55,15 +56,16 @@
 keyed_record acceptance_record(const accepted_job& accepted);
 keyed_record cancellation_record(const job_id& id);
 keyed_record progress_record(const job& j);
+keyed_record handover_record(const job_id& id, task_index task, const task_handover& handover);
 keyed_record claim_record(const owner_claim& claim);
 keyed_record layout_record(const fleet_layout& layout);
 keyed_record transfer_record(const worker_transfer& transfer);
 bool is_transfer(const keyed_record& record);
 
 // Records that drop all that the journal holds of a job.
-std::vector<keyed_record> removal_records(const job_id& id);
+std::vector<keyed_record> removal_records(const job& j);
 
-enum class record_kind { acceptance, cancellation, progress, claim, layout, transfer };
+enum class record_kind { acceptance, cancellation, progress, handover, claim, layout, transfer };
 
 // What a record changed. `job` is empty for a claim, a layout and a transfer.
 struct applied_record {
--- a/coltsfoot/jobs/job_record_test.cc
+++ b/coltsfoot/jobs/job_record_test.cc
@@ -60,10 +60,27 @@
 TEST(job_record_test, removal_leaves_nothing) {
   journal_copy copy;
   ASSERT_TRUE(copy.apply(acceptance_record(sample_job())));
-  for (const auto& record : removal_records(job_id{"j"})) ASSERT_TRUE(copy.apply(record));
+  const auto removed = *copy.table.find(job_id{"j"});
+  for (const auto& record : removal_records(removed)) ASSERT_TRUE(copy.apply(record));
   EXPECT_EQ(copy.table.size(), 0U);
 }
 
+TEST(job_record_test, the_newest_handover_of_a_task_counts_and_goes_with_the_job) {
+  journal_copy copy;
+  const job_id id{"j"};
+  ASSERT_TRUE(copy.apply(acceptance_record(sample_job())));
+  const task_handover newer{.to = 2, .number = 3, .run = 5, .checkpoint = "c"};
+  ASSERT_TRUE(copy.apply(handover_record(id, 1, newer)));
+  ASSERT_TRUE(copy.apply(handover_record(id, 1, {.to = 1, .number = 2})));
+  EXPECT_EQ(copy.table.find(id)->handovers.at(1), newer);
+  EXPECT_FALSE(copy.apply(handover_record(id, 1'000'000, newer)));
+  EXPECT_FALSE(copy.apply({.key = "handover/j/x", .value = "1"}));
+  const auto removals = removal_records(*copy.table.find(id));
+  EXPECT_TRUE(std::any_of(removals.begin(), removals.end(), [&](const auto& record) {
+    return record.key == handover_record(id, 1, newer).key && record.value.empty();
+  }));
+}
+
 RC_GTEST_PROP(job_record_test, progress_is_read_as_it_was_written, ()) {
   journal_copy copy;
   RC_ASSERT(copy.apply(acceptance_record(sample_job())).has_value());
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -144,6 +144,7 @@
     case record_kind::progress:
       owner_seen_ = context_.now;
       return;
+    case record_kind::handover:
     case record_kind::layout:
       return;
     case record_kind::transfer:
--- a/coltsfoot/jobs/job_table.cc
+++ b/coltsfoot/jobs/job_table.cc
@@ -106,7 +106,7 @@
 std::size_t job_table::pending(const queue_id& queue) const {
   return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
     const auto& j = entry.second;
-    return j.accepted.queue == queue && !j.accepted.spec.scheduled() &&
+    return j.accepted.queue == queue && !j.accepted.partial && !j.accepted.spec.scheduled() &&
            state_of(j) == job_state::queued;
   }));
 }
--- a/coltsfoot/jobs/job_table.h
+++ b/coltsfoot/jobs/job_table.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coltsfoot/base/name_table.h"
+#include "coltsfoot/jobs/fleet_layout.h"
 #include "coltsfoot/jobs/job.h"
 
 namespace coltsfoot::jobs {
@@ -29,7 +30,8 @@
   waiting,   // not running anywhere
   assigned,  // may be running on `life`
   done,
-  failed  // used up its attempts
+  failed,    // used up its attempts
+  elsewhere  // another shard runs it
 };
 
 struct task_progress {
@@ -40,6 +42,17 @@
   std::string checkpoint;      // the newest saved state that is known
 };
 
+// A task that changes its shard. Of several handovers of one task, the one with the highest number
+// counts.
+struct task_handover {
+  shard_number to = first_shard;
+  std::uint32_t number = 0;  // 1 for the first handover of the task
+  run_number run = 0;        // of its newest start, which is over
+  std::string checkpoint;
+  friend bool operator==(const task_handover&, const task_handover&) = default;
+};
+COLTSFOOT_CODEC(task_handover, to, number, run, checkpoint)
+
 enum class job_outcome : std::uint8_t { open, completed, failed, cancelled };
 
 // What callers see of a job.
@@ -57,9 +70,11 @@
   duration latency_target{0};
   wall_time accepted_at{};
   job_spec spec;
+  // A copy in a shard that runs some tasks for the job's own shard, which answers for the job.
+  bool partial = false;
 };
 COLTSFOOT_CODEC(accepted_job, id, queue, service, priority, max_attempts, slack_factor,
-                latency_target, accepted_at, spec)
+                latency_target, accepted_at, spec, partial)
 
 // Position of a task in its job: tasks are numbered by occurrence, then step, then index.
 using task_index = std::uint32_t;
@@ -72,6 +87,8 @@
   bool cancel_requested = false;
   bool started = false;  // a task has been started
   wall_time ended_at{};
+  // The newest handovers that this shard knows: those it made, and those by which it got a task.
+  std::map<task_index, task_handover> handovers;
 
   bool ended() const { return outcome != job_outcome::open; }
   std::uint32_t tasks_per_occurrence() const;
@@ -100,7 +117,7 @@
 
   job* find(const job_id& id);
   const job* find(const job_id& id) const;
-  // Accepted jobs of a queue without a schedule for which no task was started.
+  // Accepted jobs of a queue without a schedule for which no task was started; no partial copies.
   std::size_t pending(const queue_id& queue) const;
   std::size_t size() const { return jobs_.size(); }
 
@@ -123,7 +140,8 @@
       std::pair{jobs::task_phase::waiting, std::string_view{"waiting"}},
       std::pair{jobs::task_phase::assigned, std::string_view{"assigned"}},
       std::pair{jobs::task_phase::done, std::string_view{"done"}},
-      std::pair{jobs::task_phase::failed, std::string_view{"failed"}}};
+      std::pair{jobs::task_phase::failed, std::string_view{"failed"}},
+      std::pair{jobs::task_phase::elsewhere, std::string_view{"elsewhere"}}};
 };
 template <>
 struct enum_names<jobs::job_state> {
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -57,6 +57,7 @@
   duration layout_patience{6'000};  // from the start of the first owner to the first layout
   balance_options balance;
   duration balance_interval{500};
+  duration handover_interval{250};
 };
 
 struct job_node_stats {
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -67,14 +67,6 @@
   return headroom;
 }
 
-// A long-running task never gives back its room in time for a short one. It leaves some, but no
-// more than would let another task of its size wait.
-bool leaves_room_for_short(const step_spec& step, const worker_link& link) {
-  const auto kept = link.listing->capacity.millicores * kept_for_short_percent / 100;
-  const auto left = link.free().millicores - step.demand.millicores;
-  return left >= std::min(kept, step.demand.millicores);
-}
-
 // Why the room that is left on a worker does not do; nothing if it does.
 std::optional<placing_obstacle> lacks_room(const placement_request& request,
                                            const worker_link& link, const interference_model& model,
@@ -87,7 +79,9 @@
   }
   if (needed.millicores > free.millicores) return placing_obstacle::processors;
   if (step.long_running) {
-    if (request.restart || leaves_room_for_short(step, link)) return std::nullopt;
+    if (request.restart || leaves_room_for_short(step, link.listing->capacity, free)) {
+      return std::nullopt;
+    }
     return placing_obstacle::kept_room;
   }
   if (!step.fill) return std::nullopt;
@@ -115,6 +109,13 @@
 
 }  // namespace
 
+bool leaves_room_for_short(const step_spec& step, const resources& capacity,
+                           const resources& free) {
+  const auto kept = capacity.millicores * kept_for_short_percent / 100;
+  const auto left = free.millicores - step.demand.millicores;
+  return left >= std::min(kept, step.demand.millicores);
+}
+
 std::uint32_t bearable_percent(const step_spec& step, const worker_link& link,
                                const interference_model& model, time_point now) {
   if (link.serving == 0) return full_speed;
--- a/coltsfoot/jobs/shard_balance.cc
+++ b/coltsfoot/jobs/shard_balance.cc
@@ -43,7 +43,9 @@
       const bool counts =
           !of_step.fill && of_step.demand.fits_in(largest) && j.step_ready(occurrence, step);
       for (auto i = first; counts && i < last; ++i) {
-        if (j.tasks[i].phase != task_phase::done) wanted += of_step.demand;
+        const auto phase = j.tasks[i].phase;
+        const bool here = phase != task_phase::done && phase != task_phase::elsewhere;
+        if (here) wanted += of_step.demand;
       }
       first = last;
     }
--- /dev/null
+++ b/coltsfoot/jobs/shard_rooms.cc
@@ -0,0 +1,58 @@
+#include "coltsfoot/jobs/shard_rooms.h"
+
+#include <algorithm>
+
+#include "coltsfoot/jobs/placement.h"
+
+namespace coltsfoot::jobs {
+
+void shard_rooms::add_worker(shard_number shard, const worker_listing& listing) {
+  auto& workers = workers_.at(shard);
+  positions_[listing.id] = {shard, workers.size()};
+  workers.push_back({.listing = &listing, .free = listing.capacity});
+}
+
+void shard_rooms::take(const worker_id& worker, const resources& demand) {
+  const auto found = positions_.find(worker);
+  if (found == positions_.end()) return;
+  const auto [shard, position] = found->second;
+  workers_[shard][position].free -= demand;
+}
+
+bool shard_rooms::reserve(shard_number shard, const task_need& need) {
+  room* tightest = nullptr;
+  for (auto& worker : workers_.at(shard)) {
+    if (!suits(worker, need)) continue;
+    const bool tighter = tightest == nullptr || worker.free.millicores < tightest->free.millicores;
+    if (tighter) tightest = &worker;
+  }
+  if (tightest == nullptr) return false;
+  tightest->free -= need.step->demand;
+  return true;
+}
+
+std::optional<shard_number> shard_rooms::best_for(const task_need& need, shard_number own) const {
+  std::optional<shard_number> best;
+  std::ptrdiff_t most = 0;
+  for (shard_number shard = 0; shard < workers_.size(); ++shard) {
+    if (shard == own) continue;
+    const auto& workers = workers_[shard];
+    const auto places = std::count_if(workers.begin(), workers.end(),
+                                      [&](const auto& worker) { return suits(worker, need); });
+    if (places <= most) continue;
+    best = shard;
+    most = places;
+  }
+  return best;
+}
+
+bool shard_rooms::suits(const room& worker, const task_need& need) {
+  const auto& step = *need.step;
+  if (worker.listing->service != need.service) return false;
+  const bool labelled =
+      step.required_label.empty() || worker.listing->has_label(step.required_label);
+  if (!labelled || !step.demand.fits_in(worker.free)) return false;
+  return need.has_run || leaves_room_for_short(step, worker.listing->capacity, worker.free);
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/coltsfoot/jobs/shard_rooms.h
@@ -0,0 +1,56 @@
+// Room of workers by shard, to find a shard that can run a long-running task of another one.
+//
+// Load it answers: shards that are almost full, each with some room left in pieces on workers that
+// run long-running tasks. Such workers stay in their shards, so the task has to go to the room.
+//
+//   shard_rooms rooms{shards};
+//   rooms.add_worker(shard, listing);
+//   rooms.take(worker, demand_of_a_run);
+//   if (const auto to = rooms.best_for(need, own)) rooms.reserve(*to, need);
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "coltsfoot/jobs/fleet_layout.h"
+#include "coltsfoot/jobs/job.h"
+
+namespace coltsfoot::jobs {
+
+// A long-running task that needs room.
+struct task_need {
+  const step_spec* step = nullptr;
+  service_id service;
+  bool has_run = false;  // it may use room that is kept for short tasks
+};
+
+class shard_rooms {
+ public:
+  explicit shard_rooms(std::size_t shards) : workers_(shards) {}
+
+  // The listing must outlive this object.
+  void add_worker(shard_number shard, const worker_listing& listing);
+  // Something that runs holds room on a worker.
+  void take(const worker_id& worker, const resources& demand);
+  // Takes room for a task on the worker of the shard that it leaves the least room on. Returns
+  // whether there was any.
+  bool reserve(shard_number shard, const task_need& need);
+  // The shard with the most workers that have room for the task, `own` left out.
+  std::optional<shard_number> best_for(const task_need& need, shard_number own) const;
+
+ private:
+  struct room {
+    const worker_listing* listing = nullptr;
+    resources free;
+  };
+
+  static bool suits(const room& worker, const task_need& need);
+
+  std::vector<std::vector<room>> workers_;                               // by shard
+  std::map<worker_id, std::pair<shard_number, std::size_t>> positions_;  // in `workers_`
+};
+
+}  // namespace coltsfoot::jobs
--- a/tests/jobs/absent_task_test.cc
+++ b/tests/jobs/absent_task_test.cc
@@ -142,5 +142,64 @@
   std::cout << "longest absence: " << longest.count() << " ms\n";
 }
 
+std::size_t handovers(const virtual_fleet& fleet) {
+  std::size_t sum = 0;
+  for (const auto& shard : fleet.node(0).shards()) {
+    for (const auto& [id, j] : shard->table()) sum += j.handovers.size();
+  }
+  return sum;
+}
+
+// One trouble of a node or a worker, for a while. The first node stays, so that it can be asked.
+void trouble_for_a_while(virtual_fleet& fleet, draws& draw) {
+  const int node = draw.between(1, 5);
+  const int worker = draw.between(0, 15);
+  const int kind = draw.between(0, 7);
+  if (kind == 0) fleet.kill_node(node);
+  if (kind == 1) fleet.freeze_node(node, true);
+  if (kind == 2) fleet.cut_store(node, true);
+  if (kind == 3) fleet.set_worker_reachable(worker, false);
+  if (kind == 4) fleet.restart_worker(worker);
+  if (kind == 5) fleet.compact_store();
+  fleet.run_for(duration{draw.between(200, 2'500)});
+  if (kind == 0) fleet.start_node(node);
+  if (kind == 1) fleet.freeze_node(node, false);
+  if (kind == 2) fleet.cut_store(node, false);
+  if (kind == 3) fleet.set_worker_reachable(worker, true);
+}
+
+// A task in two shards would run twice; one in none would never run again; one whose job was
+// cancelled in another shard would run on.
+TEST(absent_task_test, promises_hold_while_tasks_change_shards_in_series_of_troubles) {
+  std::size_t handed_over = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    auto options = four_shards(seed);
+    options.lost_answers = 0.03;
+    options.late_orders = 0.03;
+    options.lost_append_answers = 0.03;
+    options.failing_tasks = 0.1;
+    options.max_attempts = 9;
+    options.capacity = {.millicores = 64'000, .memory_mb = 250'000};
+    virtual_fleet fleet{options};
+    draws draw{seed};
+    settle(fleet);
+    job_names names{fleet};
+    submit_uneven_load(fleet, names, draw, 0.8);
+    const auto doomed = names.next(jobs::first_shard);
+    fleet.submit(0, doomed, lasting(6, 9'000));
+    for (int round = 0; round < 16; ++round) {
+      trouble_for_a_while(fleet, draw);
+      if (round == 12) fleet.cancel(0, doomed);
+    }
+    handed_over += handovers(fleet);
+    fleet.run_for(duration{15'000});
+    EXPECT_EQ(fleet.running(doomed), 0U) << "seed " << seed;
+    EXPECT_TRUE(fleet.absences().broken().empty())
+        << *fleet.absences().broken().begin() << " seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+  EXPECT_GT(handed_over, 30U);
+}
+
 }  // namespace
 }  // namespace coltsfoot::testing
