--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -247,11 +247,12 @@
 
 void job_owner::on_batch_recorded(time_point now) {
   const auto effects = std::exchange(in_flight_, {});
-  for (const auto& [worker, key] : effects.starts) {
-    const auto link = links_.find(worker);
+  for (const auto& start : effects.starts) {
+    const auto link = links_.find(start.worker);
     if (link == links_.end()) continue;
-    const auto run = link->second.runs.find(key);
+    const auto run = link->second.runs.find(start.key);
     if (run == link->second.runs.end() || run->second.phase != start_phase::recording) continue;
+    if (run->second.run != start.run) continue;  // a later run waits for its own record
     run->second.phase = start_phase::to_send;
     stats_.until_recorded.record(now - run->second.began);
     send_due_orders(link->second, now);
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -163,9 +163,16 @@
     std::uint32_t former = 0;
   };
 
+  struct recorded_start {
+    worker_id worker;
+    task_key key;
+    run_number run = 0;
+    friend bool operator==(const recorded_start&, const recorded_start&) = default;
+  };
+
   // What may be done once the batch that it belongs to is recorded.
   struct recorded_effects {
-    std::vector<std::pair<worker_id, task_key>> starts;
+    std::vector<recorded_start> starts;
     std::map<worker_life, std::uint64_t> ends;  // highest number by life: each life counts anew
     std::set<job_id> jobs;
     std::vector<worker_transfer> transfers;
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -237,7 +237,9 @@
   // Nothing of it is recorded yet, so that the assignments can be undone.
   for (const auto& [link, index] : chosen) {
     link->remove({.job = j.accepted.id, .index = index});
-    std::erase(next_.starts, std::pair{link->life.worker, task_key{j.accepted.id, index}});
+    std::erase(next_.starts, recorded_start{.worker = link->life.worker,
+                                            .key = {.job = j.accepted.id, .index = index},
+                                            .run = run});
     j.tasks[index].phase = task_phase::waiting;
     j.tasks[index].life = {};
   }
@@ -264,7 +266,7 @@
   log(severity::info, fmt::format("event=run_placed {} worker={} idle_millicores={}",
                                   log_text({.task = ref, .run = run}),
                                   log_value(link.life.worker.value), link.free().millicores));
-  next_.starts.emplace_back(link.life.worker, key);
+  next_.starts.push_back({.worker = link.life.worker, .key = key, .run = run});
   mark_changed(j);
 }
 
--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -161,5 +161,40 @@
   EXPECT_LT(order_fence(0, 999'999, 99), order_fence(1, 1, 0));
 }
 
+// A run that is not in the journal is unknown to the next owner, who would start the task again.
+TEST_F(job_owner_test, a_run_is_not_started_by_the_record_of_an_earlier_run) {
+  const auto list = [&](bool draining) {
+    owner_->on_listing({.id = worker,
+                        .incarnation = 1,
+                        .service = service_id{"s"},
+                        .address = "a",
+                        .draining = draining,
+                        .capacity = {.millicores = 8'000, .memory_mb = 1'000},
+                        .labels = {"a", "r"}},
+                       now_);
+  };
+  job_table table;
+  table.accept({.id = job_id{"long"},
+                .service = service_id{"s"},
+                .spec = {.payload = "p",
+                         .steps = {{.demand = {.millicores = 1'000, .memory_mb = 100},
+                                    .long_running = true}}}});
+  owner_.emplace(job_owner_options{}, 1, table, now_, wall_, log_sink{});
+  owner_->on_accepted(job_id{"long"}, now_);
+  list(false);
+  answer_look(1, 1, {});
+  owner_->place(now_, wall_);
+  owner_->take_batch();
+  list(true);
+  list(false);
+  owner_->place(now_ + duration{1'000}, wall_);
+  ASSERT_EQ(table.find(job_id{"long"})->tasks[0].run, 2U);
+  owner_->take_orders();
+  owner_->on_batch_recorded(now_);
+  EXPECT_FALSE(newest<start_order>());
+  record();
+  EXPECT_TRUE(newest<start_order>());
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
