Let an idle shard keep half of an even part of the workers

Callers of a shard could see jobs that nobody ran. Cause: a shard that was idle gave all its workers but one to others, where long-running tasks kept them; when that one failed, the shard had no worker and no other shard could give one back.

A shard keeps half of an even part of the fleet's workers. Test: an_idle_shard_keeps_half_of_an_even_part, seen red with the former bound (3 of 4 workers given). shard_room_test and absent_task_test pass.

--- a/coltsfoot/jobs/shard_balance.cc
+++ b/coltsfoot/jobs/shard_balance.cc
@@ -64,11 +64,24 @@
   return racks;
 }
 
+namespace {
+
+bool can_spare(const std::vector<shard_load>& loads, shard_number own,
+               const balance_options& options) {
+  std::size_t all = 0;
+  for (const auto& load : loads) all += load.workers;
+  const auto even = static_cast<double>(all) / static_cast<double>(loads.size());
+  const auto left = static_cast<double>(loads[own].workers) - 1;
+  return left >= std::max(1.0, even * options.least_part);
+}
+
+}  // namespace
+
 std::optional<shard_number> shard_in_need(const std::vector<shard_load>& loads, shard_number own,
                                           const resources& capacity,
                                           const balance_options& options) {
   const auto& giver = loads.at(own);
-  if (giver.workers <= 1) return std::nullopt;
+  if (!can_spare(loads, own, options)) return std::nullopt;
   const auto share_after_giving = dominant_share(giver.wanted, giver.capacity - capacity);
   std::optional<shard_number> neediest;
   double largest_share = 0;
--- a/coltsfoot/jobs/shard_balance.h
+++ b/coltsfoot/jobs/shard_balance.h
@@ -30,6 +30,9 @@
   double needy_above = 0.85;
   // The giver stays emptier than the receiver by this share, so that no worker goes to and fro.
   double least_difference = 0.04;
+  // Share of an even part of the fleet's workers that a shard keeps for its own jobs. A shard with
+  // hardly any workers loses all its room with the next one that fails.
+  double least_part = 0.5;
   // Workers that one owner can serve.
   std::size_t most_workers = 192;
 };
--- a/coltsfoot/jobs/shard_balance_test.cc
+++ b/coltsfoot/jobs/shard_balance_test.cc
@@ -53,6 +53,17 @@
   EXPECT_EQ(shard_in_need({shard_with(300, 0), shard_with(192, 5)}, 0, worker), std::nullopt);
 }
 
+TEST(shard_balance_test, an_idle_shard_keeps_half_of_an_even_part) {
+  std::vector<shard_load> loads{shard_with(4, 0), shard_with(4, 5), shard_with(4, 5),
+                                shard_with(4, 5)};
+  int given = 0;
+  while (const auto needy = shard_in_need(loads, 0, worker)) {
+    move_worker(loads, 0, *needy, worker);
+    ++given;
+  }
+  EXPECT_EQ(given, 2);
+}
+
 TEST(shard_balance_test, a_shard_without_any_worker_is_in_need) {
   EXPECT_EQ(shard_in_need({shard_with(3, 0.5), shard_load{.wanted = worker}}, 0, worker), 1U);
 }
