--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -105,6 +105,7 @@
 
 void job_shard::on_read(topic_read event) {
   if (const auto change = take_page(journal_, std::move(event), context_)) apply(*change);
+  become_owner_if_due();
 }
 
 void job_shard::apply(const topic_change& change) {
@@ -164,7 +165,7 @@
                                   log_value(claim.node), claim.fence, former_fence));
   const bool own = claim.node == context_.options.node && claim.life == context_.options.life;
   if (owner_ && !own) step_down("another_claim");
-  if (!owner_ && own && pending_claim_ && pending_claim_->fence == claim.fence) become_owner();
+  claim_won_ = !owner_ && own && pending_claim_ && pending_claim_->fence == claim.fence;
   // A claim of ours below this one will not be read any more.
   if (pending_claim_ && pending_claim_->fence <= claim.fence) pending_claim_.reset();
 }
@@ -173,7 +174,7 @@
 
 void job_shard::claim_if_due() {
   const auto& options = context_.options;
-  if (owner_ || context_.now < next_claim_) return;
+  if (owner_ || claim_won_ || context_.now < next_claim_) return;
   const election_inputs in{.node = options.node,
                            .strength = options.strength,
                            .owned_shards = context_.owned_shards,
@@ -225,6 +226,12 @@
   next_claim_ = context_.now + context_.options.claim_retry;
 }
 
+void job_shard::become_owner_if_due() {
+  if (!claim_won_ || !journal_.caught_up()) return;
+  claim_won_ = false;
+  become_owner();
+}
+
 void job_shard::become_owner() {
   ++context_.stats.takeovers;
   claim_seen_by_ = {};
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -56,7 +56,7 @@
   job_owner* owner() { return owner_ ? &*owner_ : nullptr; }
   const job_owner* owner() const { return owner_ ? &*owner_ : nullptr; }
   bool is_owner() const { return owner_.has_value(); }
-  bool is_claiming() const { return claim_call_ != 0 || pending_claim_.has_value(); }
+  bool is_claiming() const { return claim_call_ != 0 || pending_claim_ || claim_won_; }
   bool caught_up() const { return journal_.caught_up(); }
   // Whether the copy is new enough to prove that a job is not there.
   bool is_fresh() const;
@@ -99,6 +99,7 @@
   // Ownership.
   void claim_if_due();
   void on_claim_ended(append_verdict verdict);
+  void become_owner_if_due();
   void become_owner();
   void step_down(std::string_view reason);
   void run_owner();
@@ -127,6 +128,9 @@
   call_id claim_call_ = 0;
   std::uint64_t claim_sequence_ = 0;  // number of the claim under way
   time_point next_claim_{};
+  // The newest claim is ours. The progress before it may not have been read: a listing has the
+  // records in the order of their keys.
+  bool claim_won_ = false;
   time_point claim_seen_by_{};  // until then, a recorded claim is expected in the journal
 
   std::optional<job_owner> owner_;
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -270,6 +270,23 @@
   EXPECT_TRUE(fleet.broken().empty());
 }
 
+// An owner that has not read the progress of its jobs would start all their tasks again.
+TEST(job_fleet_test, an_owner_whose_claim_comes_with_a_listing_knows_what_runs) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    virtual_fleet fleet{{.seed = seed, .compacted_appends = 0.5}};
+    settle(fleet);
+    fleet.submit(0, "j", lasting(6));
+    fleet.run_for(duration{1'500});
+    ASSERT_EQ(fleet.starts(), 6U);
+    fleet.kill_node(fleet.owner());
+    fleet.run_for(duration{8'000});
+    EXPECT_GE(fleet.owner(), 0) << "seed " << seed;
+    EXPECT_EQ(fleet.running("j"), 6U) << "seed " << seed;
+    EXPECT_EQ(fleet.starts(), 6U) << "seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
 TEST(job_fleet_test, a_job_fails_after_its_attempts_and_no_start_follows) {
   virtual_fleet fleet{{.failing_tasks = 1, .max_attempts = 2}};
   settle(fleet);
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -394,6 +394,7 @@
   }
   after(network_delay, [this, node, c] {
     const auto verdict = store_.append(c);
+    if (chance(options_.compacted_appends)) store_.compact();
     if (chance(options_.lost_append_answers)) {
       return deliver_after(node, c.timeout,
                            jobs::append_ended{.call = c.call, .verdict = append_verdict::unknown});
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -31,6 +31,7 @@
   double late_orders = 0;          // share of orders that are carried out seconds later, unanswered
   double slow_looks = 0;           // share of looks that take most of their time on the way
   double lost_append_answers = 0;  // share of appends that are done and not answered
+  double compacted_appends = 0;    // share of appends after which the store drops its history
   double failing_tasks = 0;        // share of runs that end failed
   std::uint32_t max_attempts = 3;
   std::size_t workers_per_shard = 128;
