--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -169,7 +169,7 @@
 tl::expected<applied_record, record_error> apply_handover(const handover_name& name,
                                                           std::string_view value,
                                                           job_table& table) {
-  const applied_record applied{.kind = record_kind::handover, .job = name.job};
+  applied_record applied{.kind = record_kind::handover, .job = name.job};
   auto* known = table.find(name.job);
   if (known == nullptr) return applied;
   if (value.empty()) {
@@ -230,8 +230,10 @@
 std::vector<keyed_record> removal_records(const job& j) {
   const auto& id = j.accepted.id;
   std::vector<keyed_record> records;
-  for (const auto& [task, handover] : j.handovers)
+  records.reserve(j.handovers.size() + 3);
+  for (const auto& [task, handover] : j.handovers) {
     records.push_back({.key = handover_key(id, task)});
+  }
   records.push_back({.key = std::string{progress_prefix} + id.value});
   records.push_back({.key = std::string{cancellation_prefix} + id.value});
   records.push_back({.key = std::string{acceptance_prefix} + id.value});
