Let a worker that has recovered from failures back soon

Cause: an owner avoided a worker for 2, 4, 8 and then 16 s after its third, fourth, fifth and sixth failure. The count was forgotten only when a task ended well, which happens on no worker that runs long-running tasks only, and the pause outlasted a restart of the worker. The longer the fleet was short of room, the more failures the few workers with room collected. Class: a penalty that grows with what has happened instead of ending with its cause.

Change: `worker_backoff` closes a worker for 2 s after each failure from the third on, and then spaces its starts by 500 ms until one succeeds; a long-running task that is at work counts as a success, and a restarted worker starts afresh. A worker that still fails now costs a task an attempt every 2.5 s or so, instead of all the tasks it had room for after each pause.

In the virtual fleet a long-running task now needs 200 ms until it reports to be at work; before, a run that was to fail looked like a success at once.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -37,17 +37,16 @@
   // Long enough to outlast the takeover by another node, short enough that the work of a worker
   // that was cut off goes on soon.
   duration lease{5'000};
-  duration look_wait{800};        // how long a worker may hold back its answer
-  duration mixed_look_wait{350};  // the same where filling tasks work beside serving ones
-  duration look_timeout{1'500};   // `look_wait` included
-  duration order_timeout{400};    // of starts and stops
-  duration order_retry{150};      // between two tries of an order
-  duration look_retry{200};       // after a look that failed
-  duration unrecorded_look{400};  // between looks while ends wait for the journal
-  duration stop_settle{400};      // from a stop's answer until a look must show the end
-  duration stall_limit{2'500};    // a run without any progress is started elsewhere
-  duration avoid_after_failures{2'000};
-  std::uint32_t most_failures_in_a_row = 3;
+  duration look_wait{800};            // how long a worker may hold back its answer
+  duration mixed_look_wait{350};      // the same where filling tasks work beside serving ones
+  duration look_timeout{1'500};       // `look_wait` included
+  duration order_timeout{400};        // of starts and stops
+  duration order_retry{150};          // between two tries of an order
+  duration look_retry{200};           // after a look that failed
+  duration unrecorded_look{400};      // between looks while ends wait for the journal
+  duration stop_settle{400};          // from a stop's answer until a look must show the end
+  duration stall_limit{2'500};        // a run without any progress is started elsewhere
+  duration avoid_unhealthy{2'000};    // after a worker has called itself unhealthy
   duration keep_ended{125'000};       // how long an ended job can be asked for
   duration starved_after{1'000};      // without a run, while a task of the job could be started
   duration drain_patience{1'200};     // runs that should end by then stay on a worker that drains
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -263,6 +263,7 @@
     placed.pace_unsure = placed.pace < 100;
   }
   link.add(key, std::move(placed));
+  link.backoff.on_start(now);
   log(severity::info, fmt::format("event=run_placed {} worker={} idle_millicores={}",
                                   log_text({.task = ref, .run = run}),
                                   log_value(link.life.worker.value), link.free().millicores));
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -23,6 +23,9 @@
   return !link.last_contact && link.runs.empty();
 }
 
+// Reported of a long-running task that has started up.
+constexpr std::uint32_t at_work_percent = 100;
+
 // Weight of a new figure beside the former ones, which it replaces with this time constant.
 double weight_of_newest(duration since_former) {
   constexpr double time_constant_ms = 500;
@@ -146,7 +149,7 @@
   link.lease = lease_clock{now};
   link.seen_end = 0;
   link.recorded_end = 0;
-  link.failures_in_a_row = 0;
+  link.backoff = {};
   std::set<run_ref> listed;
   for (const auto& row : report.running) listed.insert(row.run);
   std::vector<task_key> over;
@@ -206,11 +209,9 @@
 }
 
 void job_owner::note_worker_failure(worker_link& link, time_point now) {
-  if (++link.failures_in_a_row < options_.most_failures_in_a_row) return;
-  const auto doublings = std::min(link.failures_in_a_row - options_.most_failures_in_a_row, 3U);
-  link.avoid_until = now + options_.avoid_after_failures * (1U << doublings);
+  if (!link.backoff.on_failure(now)) return;
   log(severity::warning, fmt::format("event=worker_avoided worker={} failures_in_a_row={}",
-                                     log_value(link.life.worker.value), link.failures_in_a_row));
+                                     log_value(link.life.worker.value), link.backoff.failures()));
 }
 
 // --- Looks ---
@@ -289,6 +290,7 @@
   if (row.percent != run->percent || run->progressed_at == time_point{}) {
     run->percent = row.percent;
     run->progressed_at = now;
+    if (run->long_running && row.percent == at_work_percent) link.backoff.on_success();
   }
   if (!row.checkpoint.empty()) run->checkpoint = row.checkpoint;
 }
@@ -311,7 +313,7 @@
   switch (row.end) {
     case run_end::done:
       ++stats_.ends_done;
-      link.failures_in_a_row = 0;
+      link.backoff.on_success();
       correction_.observe(j->accepted.queue, step.estimate, taken);
       if (step.long_running) {
         requeue(*j, key.index, row.checkpoint, now);
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -76,7 +76,7 @@
   if (!listed) return placing_obstacle::unlisted;
   if (listing->draining) return placing_obstacle::draining;
   if (transfer) return placing_obstacle::transfer;
-  if (now < avoid_until) return placing_obstacle::avoided;
+  if (backoff.is_closed(now)) return placing_obstacle::avoided;
   const bool answers = failed_looks == 0 && last_contact && now - *last_contact < contact_limit;
   if (!answers) return placing_obstacle::silent;
   return std::nullopt;
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -9,6 +9,7 @@
 #include "coltsfoot/base/name_table.h"
 #include "coltsfoot/jobs/fleet_layout.h"
 #include "coltsfoot/jobs/lease_clock.h"
+#include "coltsfoot/jobs/worker_backoff.h"
 #include "coltsfoot/jobs/worker_calls.h"
 
 namespace coltsfoot::jobs {
@@ -110,9 +111,7 @@
   };
   std::optional<transfer_under_way> transfer;
 
-  // Trouble.
-  std::uint32_t failures_in_a_row = 0;
-  time_point avoid_until{};
+  worker_backoff backoff;
 
   void add(const task_key& key, placed_run run);
   void remove(const task_key& key);
--- a/tests/jobs/absent_task_test.cc
+++ b/tests/jobs/absent_task_test.cc
@@ -74,6 +74,25 @@
   }
 }
 
+// The other workers are full, so that the tasks can only run where they failed before.
+TEST(absent_task_test, tasks_run_on_a_worker_that_has_recovered_from_failing_all_its_runs) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    virtual_fleet fleet{{.nodes = 3, .workers = 4, .seed = seed, .max_attempts = 100}};
+    wait_until_settled(fleet);
+    fleet.submit(0, "long", long_running_job(8, 3'500));
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.running("long") == 8; }, duration{4'000}));
+    fleet.set_worker_failing(0, true);
+    fleet.restart_worker(0);
+    fleet.run_for(duration{8'000});
+    fleet.set_worker_failing(0, false);
+    fleet.run_for(duration{20'000});
+    EXPECT_EQ(fleet.running("long"), 8U) << "seed " << seed;
+    EXPECT_TRUE(fleet.absences().broken().empty())
+        << *fleet.absences().broken().begin() << " seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
 // Random integers from one seed.
 class random_integers {
  public:
--- a/tests/jobs/fake_runner.cc
+++ b/tests/jobs/fake_runner.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace coltsfoot::testing {
+namespace {
+
+// From the start of a long-running task until it is at work.
+constexpr duration start_up{200};
+
+}  // namespace
 
 using jobs::order_answer;
 using jobs::order_verdict;
@@ -78,7 +84,8 @@
   answer.report.incarnation = incarnation_;
   for (const auto& [task, run] : runs_) {
     const auto worked = now - run.began;
-    const auto percent = run.work.lasts ? 100 : std::min<std::int64_t>(99, worked.count() / 10);
+    const std::int64_t percent = run.work.lasts ? (worked >= start_up ? 100 : 0)
+                                                : std::min<std::int64_t>(99, worked.count() / 10);
     answer.report.running.push_back(
         {.run = {.task = task, .run = run.run}, .percent = static_cast<std::uint32_t>(percent)});
   }
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -19,6 +19,7 @@
 constexpr duration append_time{5};
 constexpr duration worker_beat{1'000};
 constexpr duration absence_interval{250};
+constexpr duration failing_run_length{100};
 constexpr std::string_view service = "svc";
 
 // The fakes write entries in their own format; the platform's format is tested in its own
@@ -67,9 +68,11 @@
     : options_(options), random_(options.seed) {
   store_.put(jobs::store_topic::configuration, "config", "1");
   for (int i = 0; i < options.workers; ++i) {
-    workers_.push_back(
-        {.runner = fake_runner{worker_id{"w" + std::to_string(i)}, options.capacity,
-                               [this](const auto& run) { return work_of(run); }, now_}});
+    workers_.push_back({.runner = fake_runner{worker_id{"w" + std::to_string(i)}, options.capacity,
+                                              [this, i](const auto& run) {
+                                                return work_of(static_cast<std::size_t>(i), run);
+                                              },
+                                              now_}});
   }
   beat();
   check_absences();
@@ -229,7 +232,12 @@
   workers_.at(static_cast<std::size_t>(worker)).runner.restart(now_);
 }
 
-task_work virtual_fleet::work_of(const jobs::run_ref& run) {
+void virtual_fleet::set_worker_failing(int worker, bool failing) {
+  absences_.on_trouble(now_);
+  workers_.at(static_cast<std::size_t>(worker)).failing = failing;
+}
+
+task_work virtual_fleet::work_of(std::size_t worker, const jobs::run_ref& run) {
   const auto spec = specs_.find(run.task.job.value);
   if (spec == specs_.end()) {
     violations_.insert("UNASKED " + run.task.job.value);
@@ -240,10 +248,14 @@
       run.task.job.value,
       fmt::format("{}.{}.{}.{}", run.task.occurrence, run.task.step, run.task.index, run.run));
   constexpr std::uint64_t grain = 10'000;
-  const bool fails = static_cast<double>(seed % grain) < options_.failing_tasks * grain;
+  const bool worker_fails = workers_[worker].failing;
+  const bool fails =
+      worker_fails || static_cast<double>(seed % grain) < options_.failing_tasks * grain;
   // A long-running task may fail at any time.
   const duration until_failure{2'000 + static_cast<std::int64_t>(seed % 5'000)};
-  return {.length = step.long_running ? until_failure : step.estimate,
+  return {.length = worker_fails        ? failing_run_length
+                    : step.long_running ? until_failure
+                                        : step.estimate,
           .demand = step.demand,
           .fills = step.fill,
           .lasts = step.long_running,
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -68,6 +68,8 @@
   void ask_shutdown(int node);
   void set_worker_reachable(int worker, bool reachable);
   void restart_worker(int worker);
+  // While set, all runs that the worker starts fail soon.
+  void set_worker_failing(int worker, bool failing);
   void list_worker(int worker, bool draining);
   void compact_store() {
     absences_.on_trouble(now_);
@@ -100,6 +102,7 @@
     fake_runner runner;
     bool reachable = true;
     bool draining = false;
+    bool failing = false;
   };
   struct scheduled {
     time_point at;
@@ -131,7 +134,7 @@
   void execute_order(int node, const jobs::give_order& c, bool answered);
 
   call_id ask(int node, const std::string& id, jobs::caller_action action, jobs::job_spec spec);
-  task_work work_of(const jobs::run_ref& run);
+  task_work work_of(std::size_t worker, const jobs::run_ref& run);
   void check_start(const jobs::run_ref& run, bool late);
   void check_runs();
   void check_absences();
