Hand a waiting task on after two seconds, however often it has moved

What callers see: a long-running task that has gone from shard to shard waits up to 5 s before it may go on, while another shard has room for it.

Cause: the patience of a task grows with the number of its handovers, which counts over the life of the job, also when the task has run well for hours in between. It is the class of the avoided workers: a penalty that grows with what has happened.

The new test was red: a task with many handovers was not offered after 2 s.

Change: 1 s of patience for the first handover, 2 s for each further one.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -52,10 +52,11 @@
   duration drain_patience{1'200};     // runs that should end by then stay on a worker that drains
   duration transfer_patience{6'000};  // for the runs of a worker that is to be transferred
   std::size_t most_transfers_at_once = 4;
-  // A long-running task that waits this long for room may go to another shard; one that has gone
-  // there before waits longer each time, up to a limit, so that it does not go to and fro.
+  // A long-running task that waits this long for room may go to another shard. One that has gone
+  // there before waits longer, so that it does not go to and fro, but not so long that it misses
+  // room which is there for 3 s.
   duration handover_patience{1'000};
-  std::uint32_t most_patience = 5;  // times `handover_patience`
+  duration repeated_handover_patience{2'000};
 };
 
 struct job_owner_stats {
--- a/coltsfoot/jobs/job_owner_handovers.cc
+++ b/coltsfoot/jobs/job_owner_handovers.cc
@@ -18,9 +18,8 @@
 }  // namespace
 
 duration job_owner::handover_patience_for(const job& j, task_index index) const {
-  const auto found = j.handovers.find(index);
-  const auto before = found == j.handovers.end() ? 0 : found->second.number;
-  return options_.handover_patience * std::min(before + 1, options_.most_patience);
+  return j.handovers.contains(index) ? options_.repeated_handover_patience
+                                     : options_.handover_patience;
 }
 
 // Tasks that have run come first: their users miss them.
