Keep a worker that is to be given away if a restart needs its room

What callers see: a long-running task waits although a worker of its shard has room, because that worker is being emptied for another shard, for up to 6 s and then possibly again. Tasks are also handed to a shard for the room of such a worker.

Cause: the transfer of a worker bars all new work from its first moment on, whatever waits in the giving shard, and handovers count the worker as room there.

The new test was red: the restart stayed waiting. Not shown to be what the report saw.

One that is stays, since the other owner may have read it.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -232,6 +232,8 @@
   void drain_runs(worker_link& link, time_point now);
   void forget_link(worker_links::iterator at);
   void settle_transfer(worker_link& link, time_point now);
+  void give_up_transfer(worker_link& link);
+  bool keep_worker_for(const placement_request& request, time_point now);
   job& add_partial_copy(const accepted_job& accepted);
   duration handover_patience_for(const job& j, task_index index) const;
   void tend_workers(time_point now);
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -195,6 +195,10 @@
     request.starved = starved;
     if (!ranked) rank_workers(request, now, ranking);
     ranked = true;
+    const bool lacks_room = !ranking || ranking->best() == nullptr;
+    if (lacks_room && spec.long_running && restart && keep_worker_for(request, now)) {
+      ranking.emplace(request, links_, model_, now);
+    }
     auto* link = ranking ? ranking->best() : nullptr;
     if (link == nullptr) continue;
     placed_starved = true;
--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -161,6 +161,35 @@
   EXPECT_LT(order_fence(0, 999'999, 99), order_fence(1, 1, 0));
 }
 
+// A restart would wait for its room until the worker is empty or its transfer is given up.
+TEST_F(job_owner_test, a_worker_that_is_to_be_given_away_stays_for_a_restart_without_other_room) {
+  job_table table;
+  table.accept({.id = job_id{"long"},
+                .service = service_id{"s"},
+                .spec = {.payload = "p",
+                         .steps = {{.demand = {.millicores = 1'000, .memory_mb = 100},
+                                    .long_running = true}}}});
+  auto& task = table.find(job_id{"long"})->tasks[0];
+  const auto listing = *owner_->links().at(worker).listing;
+  owner_.emplace(job_owner_options{}, 1, table, now_, wall_, log_sink{});
+  owner_->on_listing(listing, now_);
+  answer_look(1, 1, {});
+  owner_->begin_transfer(worker, 1, now_);
+  // The transfer is on its way to the journal.
+  owner_->on_accepted(job_id{"long"}, now_);
+  task.run = 1;
+  owner_->place(now_, wall_);
+  EXPECT_EQ(task.phase, task_phase::waiting);
+  record();
+  owner_->on_listing(listing, now_);
+  answer_look(1, 1, {});
+  answer_look(1, 1, {}, {{.number = 1, .run = first_run_, .end = run_end::failed}});
+  owner_->begin_transfer(worker, 1, now_);  // waits for the record of the end
+  owner_->place(now_ + duration{1'000}, wall_);
+  EXPECT_EQ(task.phase, task_phase::assigned);
+  EXPECT_FALSE(owner_->links().at(worker).transfer);
+}
+
 // A run that is not in the journal is unknown to the next owner, who would start the task again.
 TEST_F(job_owner_test, a_run_is_not_started_by_the_record_of_an_earlier_run) {
   const auto list = [&](bool draining) {
--- a/coltsfoot/jobs/job_owner_transfers.cc
+++ b/coltsfoot/jobs/job_owner_transfers.cc
@@ -59,17 +59,33 @@
 void job_owner::settle_transfer(worker_link& link, time_point now) {
   if (!link.transfer || link.transfer->recording) return;
   const bool leaves = !link.listed || link.listing->draining || link.failed_looks > 0;
-  if (leaves || now >= link.transfer->give_up) {
-    log(severity::info,
-        fmt::format("event=worker_transfer_given_up worker={} to_shard={} runs={}",
-                    log_value(link.life.worker.value), link.transfer->to, link.runs.size()));
-    link.transfer.reset();
-    return;
-  }
+  if (leaves || now >= link.transfer->give_up) return give_up_transfer(link);
   if (!link.runs.empty() || link.recorded_end != link.seen_end) return;
   link.transfer->recording = true;
   next_.transfers.push_back(
       {.worker = link.life.worker, .to = link.transfer->to, .number = link.listing->transfers + 1});
 }
 
+void job_owner::give_up_transfer(worker_link& link) {
+  log(severity::info,
+      fmt::format("event=worker_transfer_given_up worker={} to_shard={} runs={}",
+                  log_value(link.life.worker.value), link.transfer->to, link.runs.size()));
+  link.transfer.reset();
+}
+
+// Gives up a transfer that is not on its way to the journal if its worker can take a task of the
+// request. Returns whether there is one.
+bool job_owner::keep_worker_for(const placement_request& request, time_point now) {
+  for (auto& [id, link] : links_) {
+    if (!link.transfer || link.transfer->recording) continue;
+    const auto transfer = std::exchange(link.transfer, std::nullopt);
+    const bool suits = !obstacle_to(request, link, model_, now);
+    link.transfer = transfer;
+    if (!suits) continue;
+    give_up_transfer(link);
+    return true;
+  }
+  return false;
+}
+
 }  // namespace coltsfoot::jobs
