Use a worker whose new life has a lower number than the last one

What callers see: tasks that ran on a worker when it restarted are neither running nor started again, and the worker gets no work any more, until its owner changes.

Cause: the number of a life is a time of day. If the worker's clock was set back between two lives, the newer one has the lower number, and its looks and its entries were dropped as those of a former life, without a log line. The looks did count as answers, so that its runs were never given up.

Evidence: by reading; the new test was red. Not shown to be what the report saw.

Change: a worker's own word on its life counts, whatever its number: looks follow one another, so that the newest answer is of the present life. An entry with a lower number is a late one only while the known life is listed and answers; dropping one leaves the line `worker_entry_late`.

--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -161,6 +161,30 @@
   EXPECT_LT(order_fence(0, 999'999, 99), order_fence(1, 1, 0));
 }
 
+// The clock that a life's number is taken from may have been set back between the two lives.
+TEST_F(job_owner_test, a_worker_is_used_in_a_life_with_a_lower_number) {
+  auto listing = *owner_->links().at(worker).listing;
+  listing.incarnation = 9;
+  owner_->on_listing(listing, now_);
+  answer_look(1, 9, {});
+  owner_->place(now_, wall_);
+  record();
+  ASSERT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::assigned);
+  owner_->on_start_answer({.worker = worker, .incarnation = 9}, first_run_,
+                          {.verdict = order_verdict::accepted, .clock = 1'000}, now_);
+  pass(duration{500});
+  answer_look(9, 9, {{.run = first_run_}});
+  owner_->on_unlisted(worker);
+  listing.incarnation = 5;
+  owner_->on_listing(listing, now_);
+  pass(duration{500});
+  answer_look(9, 5, {});
+  EXPECT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::waiting);
+  pass(duration{500});
+  answer_look(5, 5, {});
+  EXPECT_TRUE(owner_->links().at(worker).usable(now_));
+}
+
 // A restart would wait for its room until the worker is empty or its transfer is given up.
 TEST_F(job_owner_test, a_worker_that_is_to_be_given_away_stays_for_a_restart_without_other_room) {
   job_table table;
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -23,6 +23,13 @@
   return !link.last_contact && link.runs.empty();
 }
 
+// Whether the entry is of a former life: it can reach the registry late. A life with a lower number
+// can also be the newest one, since clocks are set back; then the known life does not answer.
+bool is_late_entry(const worker_link& link, const worker_listing& listing) {
+  const bool known_life_is_there = link.listed && link.failed_looks == 0;
+  return listing.incarnation < link.life.incarnation && known_life_is_there;
+}
+
 // Reported of a long-running task that has started up.
 constexpr std::uint32_t at_work_percent = 100;
 
@@ -51,14 +58,19 @@
         fmt::format("event=worker_listed worker={} incarnation={} address={}",
                     log_value(listing.id.value), listing.incarnation, log_value(listing.address)));
   }
-  if (listing.incarnation < link.life.incarnation) {
-    if (!is_unproved(link)) return;  // an entry of a former life
+  if (listing.incarnation < link.life.incarnation && is_unproved(link)) {
     // The entry before this one may have come from another writer.
     link.life.incarnation = listing.incarnation;
     link.looking = false;
   }
+  if (is_late_entry(link, listing)) {
+    log(severity::info,
+        fmt::format("event=worker_entry_late worker={} incarnation={} known={}",
+                    log_value(listing.id.value), listing.incarnation, link.life.incarnation));
+    return;
+  }
   // The worker itself says what of the former life's orders reached the new one.
-  if (listing.incarnation > link.life.incarnation) link.next_look = now;
+  if (listing.incarnation != link.life.incarnation) link.next_look = now;
   const bool was_draining = link.listing && link.listing->draining;
   link.listing = listing;
   link.listed = true;
@@ -241,12 +253,12 @@
     return;
   }
   const auto& report = answer.report;
-  if (report.incarnation != 0 && report.incarnation < link->life.incarnation) {
-    link->next_look = now + options_.look_retry;
-    if (!is_unproved(*link)) return;
+  const bool other_life = report.incarnation != 0 && report.incarnation != link->life.incarnation;
+  if (other_life && is_unproved(*link) && report.incarnation < link->life.incarnation) {
     link->life.incarnation = report.incarnation;
+  } else if (other_life) {
+    change_life(*link, report, now);
   }
-  if (report.incarnation > link->life.incarnation) change_life(*link, report, now);
   if (link->failed_looks >= 2) {
     log(severity::info, fmt::format("event=worker_regained worker={} failed_looks={}",
                                     log_value(life.worker.value), link->failed_looks));
