--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -52,10 +52,11 @@
   duration drain_patience{1'200};     // runs that should end by then stay on a worker that drains
   duration transfer_patience{6'000};  // for the runs of a worker that is to be transferred
   std::size_t most_transfers_at_once = 4;
-  // A long-running task that waits this long for room may go to another shard; one that has gone
-  // there before waits longer each time, up to a limit, so that it does not go to and fro.
+  // A long-running task that waits this long for room may go to another shard. One that has gone
+  // there before waits longer, so that it does not go to and fro, but not so long that it misses
+  // room which is there for 3 s.
   duration handover_patience{1'000};
-  std::uint32_t most_patience = 5;  // times `handover_patience`
+  duration repeated_handover_patience{2'000};
 };
 
 struct job_owner_stats {
@@ -231,6 +232,8 @@
   void drain_runs(worker_link& link, time_point now);
   void forget_link(worker_links::iterator at);
   void settle_transfer(worker_link& link, time_point now);
+  void give_up_transfer(worker_link& link);
+  bool keep_worker_for(const placement_request& request, time_point now);
   job& add_partial_copy(const accepted_job& accepted);
   duration handover_patience_for(const job& j, task_index index) const;
   void tend_workers(time_point now);
