Split the tending of workers off the owner's view of them

job_owner_workers.cc had grown to 520 lines with two jobs: what reports say of workers, and what is due as time passes. The second part is job_owner_tending.cc now. Functions and constants were moved as they stand; no change of behaviour.

--- /dev/null
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -0,0 +1,130 @@
+// The part of the owner that does what is due as time passes: tends workers, and logs the load.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "coltsfoot/base/log_text.h"
+#include "coltsfoot/jobs/job_owner.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+constexpr duration summary_interval{1'000};
+
+// Workers that are tended in one tick at the most, unless the fleet has so many that all would not
+// have their turn within this number of ticks.
+constexpr std::size_t most_tended_at_once = 64;
+constexpr std::size_t turns_for_all = 8;
+
+}  // namespace
+
+void job_owner::tick(time_point now, wall_time wall) {
+  wall_ = wall;
+  tend_workers(now);
+  for (const auto& id : std::vector<job_id>{cancelling_.begin(), cancelling_.end()}) {
+    if (auto* j = table_.find(id)) {
+      stop_runs_of(id, now);
+      settle_cancelled(*j, now);
+    }
+  }
+  for (const auto& id : std::vector<job_id>{scheduled_.begin(), scheduled_.end()}) {
+    const auto* j = table_.find(id);
+    if (j != nullptr) refresh_waiting(*j, now);
+    if (j == nullptr || occurrence_due(*j, j->accepted.spec.occurrences() - 1)) {
+      scheduled_.erase(id);
+    }
+  }
+  if (now < next_summary_) return;
+  next_summary_ = now + summary_interval;
+  drop_expired();
+  log_summary(now);
+  log_long_waits(now);
+}
+
+// Tends all workers of a small fleet, and a part of those of a large one, in turn.
+void job_owner::tend_workers(time_point now) {
+  const auto part = std::max(most_tended_at_once, links_.size() / turns_for_all + 1);
+  auto at = links_.upper_bound(last_tended_);
+  for (auto left = std::min(part, links_.size()); left > 0; --left) {
+    if (at == links_.end()) at = links_.begin();
+    last_tended_ = at->first;
+    tend_worker(at->second, now);
+    // A worker whose transfer is on its way to the journal stays known, lest it be used again.
+    const bool unused = !at->second.listed && at->second.runs.empty() && !at->second.transfer;
+    const auto next = std::next(at);
+    if (unused) forget_link(at);
+    at = next;
+  }
+}
+
+// The fences of a worker must not fall when it is listed again.
+void job_owner::forget_link(worker_links::iterator at) {
+  const auto& [id, link] = *at;
+  remembered_[id] = {.incarnation = link.life.incarnation, .former = link.former_lives};
+  links_.erase(at);
+}
+
+void job_owner::tend_worker(worker_link& link, time_point now) {
+  const bool silent = link.failed_looks > 0 || !link.last_contact || !link.listing;
+  if (silent && now >= link.lease.lapses_at() && !link.runs.empty()) {
+    end_life(link, "lease_lapsed", now);
+  }
+  std::vector<task_key> stalled;
+  for (const auto& [key, run] : link.runs) {
+    const bool stuck = run.phase == start_phase::confirmed && run.percent < 100 &&
+                       link.failed_looks == 0 && now - run.progressed_at > options_.stall_limit;
+    if (!stuck) continue;
+    const auto* j = table_.find(key.job);
+    if (j == nullptr || j->ended()) continue;
+    if (!j->step_of(j->ref_of(key.index)).fill) stalled.push_back(key);
+  }
+  for (const auto& key : stalled) {
+    note_worker_failure(link, now);
+    stop_run(link, key, now);
+  }
+  settle_transfer(link, now);
+  send_due_orders(link, now);
+}
+
+void job_owner::log_summary(time_point now) const {
+  std::size_t usable = 0;
+  std::size_t serving = 0;
+  std::size_t runs = 0;
+  resources capacity;
+  resources used;
+  resources largest;  // room on one usable worker, each kind by itself
+  std::int64_t fill = 0;
+  for (const auto& [id, link] : links_) {
+    if (link.usable(now)) {
+      ++usable;
+      const auto free = link.free();
+      largest.millicores = std::max(largest.millicores, free.millicores);
+      largest.memory_mb = std::max(largest.memory_mb, free.memory_mb);
+    }
+    if (link.serving > 0) ++serving;
+    if (link.listing) capacity += link.listing->capacity;
+    runs += link.runs.size();
+    used += link.used;
+    fill += link.fill_millicores;
+  }
+  log(severity::info,
+      fmt::format("event=fleet_load workers={} usable={} serving={} runs={} "
+                  "waiting_jobs={} capacity_millicores={} used_millicores={} fill_millicores={} "
+                  "largest_free_millicores={} largest_free_memory_mb={}",
+                  links_.size(), usable, serving, runs, waiting_.size(), capacity.millicores,
+                  used.millicores, fill, largest.millicores, largest.memory_mb));
+  const auto median_ms = [](const latency_histogram& values) {
+    return std::chrono::duration_cast<duration>(values.quantile(0.5)).count();
+  };
+  const auto tail_ms = [](const latency_histogram& values) {
+    return std::chrono::duration_cast<duration>(values.quantile(0.99)).count();
+  };
+  log(severity::info,
+      fmt::format("event=owner_latency started_p50_ms={} started_p99_ms={} recorded_p50_ms={} "
+                  "recorded_p99_ms={} answered_p50_ms={} answered_p99_ms={}",
+                  median_ms(stats_.until_started), tail_ms(stats_.until_started),
+                  median_ms(stats_.until_recorded), tail_ms(stats_.until_recorded),
+                  median_ms(stats_.until_answered), tail_ms(stats_.until_answered)));
+}
+
+}  // namespace coltsfoot::jobs
