Count only successes of runs that began after a worker's newest failure

What callers would see: a worker that fails all it starts goes on getting whole batches of tasks while runs that began before the fault end well, so that short tasks lose attempts.

Cause: any run that ended well opened a closed worker.

Change: a success counts only if its run began after the newest failure.

--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -136,14 +136,14 @@
       run->confirmed_at = now;
       return;
     case order_verdict::no_room:
-      link->backoff.close_until(now + options_.order_timeout);
+      link->backoff.on_rejection(now + options_.order_timeout);
       return reject("no_room");
     case order_verdict::bad_ticket:
       return reject("bad_ticket");
     case order_verdict::malformed:
       return reject("malformed");
     case order_verdict::unhealthy:
-      link->backoff.close_until(now + options_.avoid_unhealthy);
+      link->backoff.on_rejection(now + options_.avoid_unhealthy);
       return reject("unhealthy");
     case order_verdict::other_life:
       link->next_look = now;
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -295,7 +295,7 @@
   if (row.percent != run->percent || run->progressed_at == time_point{}) {
     run->percent = row.percent;
     run->progressed_at = now;
-    if (run->long_running && row.percent == at_work_percent) link.backoff.on_success();
+    if (run->long_running && row.percent == at_work_percent) link.backoff.on_success(run->began);
   }
   if (!row.checkpoint.empty()) run->checkpoint = row.checkpoint;
 }
@@ -305,7 +305,8 @@
   auto* run = run_of(link, row.run, key);
   if (run == nullptr) return;  // another run of the task counts
   const bool wanted = run->stop_wanted;
-  const auto taken = now - run->began;
+  const auto began = run->began;
+  const auto taken = now - began;
   link.remove(key);
   auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
@@ -318,7 +319,7 @@
   switch (row.end) {
     case run_end::done:
       ++stats_.ends_done;
-      link.backoff.on_success();
+      link.backoff.on_success(began);
       correction_.observe(j->accepted.queue, step.estimate, taken);
       if (step.long_running) {
         requeue(*j, key.index, row.checkpoint, now);
--- a/coltsfoot/jobs/placement_test.cc
+++ b/coltsfoot/jobs/placement_test.cc
@@ -64,7 +64,7 @@
   link.failed_looks = 1;
   EXPECT_EQ(choose(step, links), nullptr);
   link.failed_looks = 0;
-  link.backoff.close_until(now + duration{1});
+  link.backoff.on_rejection(now + duration{1});
   EXPECT_EQ(choose(step, links), nullptr);
 }
 
@@ -192,7 +192,7 @@
   EXPECT_EQ(obstacle(), placing_obstacle::wrong_kind);
   link.failed_looks = 1;
   EXPECT_EQ(obstacle(), placing_obstacle::silent);
-  link.backoff.close_until(now + duration{1});
+  link.backoff.on_rejection(now + duration{1});
   EXPECT_EQ(obstacle(), placing_obstacle::avoided);
   link.listing->draining = true;
   EXPECT_EQ(obstacle(), placing_obstacle::draining);
--- a/coltsfoot/jobs/worker_backoff.h
+++ b/coltsfoot/jobs/worker_backoff.h
@@ -2,7 +2,8 @@
 //
 // Several failures without a success close the worker for a fixed time. After that its starts are
 // spaced until one succeeds, so that a worker that still fails costs few tasks an attempt, and one
-// that has recovered is in use again soon, however often it had failed before.
+// that has recovered is in use again soon, however often it had failed before. Only runs that began
+// after the newest failure tell whether it has recovered.
 //
 //   worker_backoff backoff;
 //   if (backoff.on_failure(now)) log_closed();
@@ -27,22 +28,27 @@
   // Returns whether the worker is closed now.
   bool on_failure(time_point now) {
     ++failures_;
+    newest_failure_ = now;
     if (!is_suspect()) return false;
-    close_until(now + closed_for);
+    closed_until_ = now + closed_for;
     return true;
   }
 
-  // A task has ended well or is at work.
-  void on_success() { *this = {}; }
+  // A run that began at `began` has ended well or is at work.
+  void on_success(time_point began) {
+    if (failures_ > 0 && began <= newest_failure_) return;
+    failures_ = 0;
+    closed_until_ = {};
+  }
 
   void on_start(time_point now) {
-    if (is_suspect()) close_until(now + start_spacing);
+    if (is_suspect()) closed_until_ = std::max(closed_until_, now + start_spacing);
   }
 
-  // Closes the worker at least until `end`, for instance after it has rejected a start.
-  void close_until(time_point end) { closed_until_ = std::max(closed_until_, end); }
+  // The worker has rejected a start; successes of other runs don't shorten this pause.
+  void on_rejection(time_point pause_end) { paused_until_ = std::max(paused_until_, pause_end); }
 
-  bool is_closed(time_point now) const { return now < closed_until_; }
+  bool is_closed(time_point now) const { return now < std::max(closed_until_, paused_until_); }
   std::uint32_t failures() const { return failures_; }
 
  private:
@@ -52,7 +58,9 @@
   bool is_suspect() const { return failures_ >= closing_failures; }
 
   std::uint32_t failures_ = 0;  // since the last success
+  time_point newest_failure_{};
   time_point closed_until_{};
+  time_point paused_until_{};
 };
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/worker_backoff_test.cc
+++ b/coltsfoot/jobs/worker_backoff_test.cc
@@ -35,7 +35,7 @@
   EXPECT_TRUE(backoff.is_closed(open_at + duration{499}));
   EXPECT_FALSE(backoff.is_closed(open_at + duration{500}));
   backoff.on_start(open_at + duration{500});
-  backoff.on_success();
+  backoff.on_success(open_at + duration{500});
   EXPECT_FALSE(backoff.is_closed(open_at + duration{501}));
   backoff.on_start(open_at + duration{501});
   EXPECT_FALSE(backoff.is_closed(open_at + duration{501}));
@@ -51,9 +51,27 @@
 
 TEST(worker_backoff_test, a_rejection_does_not_shorten_a_pause) {
   auto backoff = after_failures(3);
-  backoff.close_until(start + duration{400});
+  backoff.on_rejection(start + duration{400});
   EXPECT_TRUE(backoff.is_closed(start + duration{1'999}));
 }
 
+TEST(worker_backoff_test, a_success_does_not_end_the_pause_after_a_rejection) {
+  worker_backoff backoff;
+  backoff.on_rejection(start + duration{400});
+  backoff.on_success(start);
+  EXPECT_TRUE(backoff.is_closed(start + duration{399}));
+  EXPECT_FALSE(backoff.is_closed(start + duration{400}));
+}
+
+// Runs that began before the fault may end well while all new ones fail.
+TEST(worker_backoff_test, a_success_of_a_run_that_began_before_the_newest_failure_does_not_count) {
+  auto backoff = after_failures(3);
+  backoff.on_success(start - duration{1});
+  EXPECT_TRUE(backoff.is_closed(start + duration{1'999}));
+  EXPECT_EQ(backoff.failures(), 3U);
+  backoff.on_success(start + duration{1});
+  EXPECT_FALSE(backoff.is_closed(start + duration{1}));
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
