Let a gang that can't be placed close no worker

What callers would see: a worker that has failed and recovered takes no task as long as an urgent gang waits that does not fit, since each pass gives it a member of the gang, closes it for 500 ms, and takes the member back.

Change: the starts of a gang are noted once all its members are placed.

Test: a_gang_that_does_not_fit_keeps_no_task_from_a_worker_that_has_failed, red with the note in `assign`.

--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -203,6 +203,7 @@
     if (link == nullptr) continue;
     placed_starved = true;
     assign(j, i, *link, j.tasks[i].run + 1, now);
+    link->backoff.on_start(now);
     ++request.siblings[link->life.worker];
     ranking->reconsider_best();
     if (spec.tightly_coupled && request.preferred_rack != link->listing->rack()) {
@@ -237,7 +238,10 @@
       rank_workers(request, now, ranking);
     }
   }
-  if (chosen.size() == last - first) return;
+  if (chosen.size() == last - first) {
+    for (const auto& [link, index] : chosen) link->backoff.on_start(now);
+    return;
+  }
   // Nothing of it is recorded yet, so that the assignments can be undone.
   for (const auto& [link, index] : chosen) {
     link->remove({.job = j.accepted.id, .index = index});
@@ -267,7 +271,6 @@
     placed.pace_unsure = placed.pace < 100;
   }
   link.add(key, std::move(placed));
-  link.backoff.on_start(now);
   log(severity::info, fmt::format("event=run_placed {} worker={} idle_millicores={}",
                                   log_text({.task = ref, .run = run}),
                                   log_value(link.life.worker.value), link.free().millicores));
--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -161,6 +161,48 @@
   EXPECT_LT(order_fence(0, 999'999, 99), order_fence(1, 1, 0));
 }
 
+// The gang is tried first in each pass, and would close the worker for the others each time.
+TEST_F(job_owner_test, a_gang_that_does_not_fit_keeps_no_task_from_a_worker_that_has_failed) {
+  const job_id id{"long"};
+  job_table table;
+  table.accept({.id = id,
+                .service = service_id{"s"},
+                .priority = 1,
+                .spec = {.payload = "p",
+                         .steps = {{.demand = {.millicores = 1'000, .memory_mb = 100},
+                                    .long_running = true}}}});
+  const auto& task = table.find(id)->tasks[0];
+  const auto listing = *owner_->links().at(worker).listing;
+  owner_.emplace(job_owner_options{}, 1, table, now_, wall_, log_sink{});
+  owner_->on_accepted(id, now_);
+  owner_->on_listing(listing, now_);
+  answer_look(1, 1, {});
+  for (run_number run = 1; run <= worker_backoff::closing_failures; ++run) {
+    owner_->place(now_, wall_);
+    ASSERT_EQ(task.run, run);
+    record();
+    pass(duration{100});
+    answer_look(
+        1, 1, {},
+        {{.number = run, .run = {.task = {.job = id}, .run = run}, .end = run_end::failed}});
+  }
+  owner_->place(now_, wall_);
+  ASSERT_EQ(task.phase, task_phase::waiting);
+  table.accept({.id = job_id{"gang"},
+                .service = service_id{"s"},
+                .latency_target = duration{60'000},
+                .accepted_at = wall_,
+                .spec = {.payload = "p",
+                         .steps = {{.count = 2,
+                                    .demand = {.millicores = 5'000, .memory_mb = 100},
+                                    .gang = true}}}});
+  owner_->on_accepted(job_id{"gang"}, now_);
+  pass(duration{2'000});
+  answer_look(1, 1, {});
+  owner_->place(now_, wall_);
+  EXPECT_EQ(task.phase, task_phase::assigned);
+}
+
 // The clock that a life's number is taken from may have been set back between the two lives.
 TEST_F(job_owner_test, a_worker_is_used_in_a_life_with_a_lower_number) {
   auto listing = *owner_->links().at(worker).listing;
