Take an entry with a lower life only once the worker confirms it

Change: such an entry is kept aside. It counts when a look shows its life, or when the worker is unlisted and nothing of the owner is on it any more. A returning worker's fence grows with any other number of its life.

--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -52,7 +52,11 @@
     // A worker whose transfer is on its way to the journal stays known, lest it be used again.
     const bool unused = !at->second.listed && at->second.runs.empty() && !at->second.transfer;
     const auto next = std::next(at);
-    if (unused) forget_link(at);
+    if (unused) {
+      const auto entry = std::move(at->second.unconfirmed);
+      forget_link(at);
+      if (entry) on_listing(*entry, now);
+    }
     at = next;
   }
 }
--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -227,6 +227,53 @@
   EXPECT_TRUE(owner_->links().at(worker).usable(now_));
 }
 
+// Its tasks would be stopped, or started again elsewhere while they run on.
+TEST_F(job_owner_test, a_late_entry_of_a_former_life_changes_nothing_while_looks_fail) {
+  auto listing = *owner_->links().at(worker).listing;
+  answer_look(1, 9, {});
+  owner_->place(now_, wall_);
+  record();
+  owner_->on_start_answer({.worker = worker, .incarnation = 9}, first_run_,
+                          {.verdict = order_verdict::accepted, .clock = 1'000}, now_);
+  owner_->on_look_answer({.worker = worker, .incarnation = 9},
+                         {.verdict = order_verdict::unanswered}, now_, now_);
+  owner_->on_unlisted(worker);
+  listing.incarnation = 5;
+  listing.address = "b";
+  listing.draining = true;
+  owner_->on_listing(listing, now_);
+  EXPECT_EQ(owner_->links().at(worker).listing->address, "a");
+  EXPECT_FALSE(owner_->links().at(worker).listing->draining);
+  pass(duration{500});
+  answer_look(9, 9, {{.run = first_run_}});
+  EXPECT_EQ(owner_->links().at(worker).listing->address, "a");
+}
+
+TEST_F(job_owner_test, an_idle_worker_that_was_unlisted_returns_with_a_lower_number) {
+  auto listing = *owner_->links().at(worker).listing;
+  answer_look(1, 9, {});
+  owner_->on_unlisted(worker);
+  listing.incarnation = 5;
+  owner_->on_listing(listing, now_);
+  pass(duration{100});
+  EXPECT_EQ(owner_->links().at(worker).life.incarnation, 5U);
+  answer_look(5, 5, {});
+  EXPECT_TRUE(owner_->links().at(worker).usable(now_));
+}
+
+// A late start for the former life would be carried out.
+TEST_F(job_owner_test, fences_grow_when_a_forgotten_worker_returns_with_a_lower_number) {
+  auto listing = *owner_->links().at(worker).listing;
+  answer_look(1, 9, {});
+  const auto lives = owner_->links().at(worker).former_lives;
+  owner_->on_unlisted(worker);
+  pass(duration{100});
+  ASSERT_FALSE(owner_->links().contains(worker));
+  listing.incarnation = 5;
+  owner_->on_listing(listing, now_);
+  EXPECT_GT(owner_->links().at(worker).former_lives, lives);
+}
+
 // A restart would wait for its room until the worker is empty or its transfer is given up.
 TEST_F(job_owner_test, a_worker_that_is_to_be_given_away_stays_for_a_restart_without_other_room) {
   job_table table;
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -16,13 +16,6 @@
   return !link.last_contact && link.runs.empty();
 }
 
-// Whether the entry is of a former life: it can reach the registry late. A life with a lower number
-// can also be the newest one, since clocks are set back; then the known life does not answer.
-bool is_late_entry(const worker_link& link, const worker_listing& listing) {
-  const bool known_life_is_there = link.listed && link.failed_looks == 0;
-  return listing.incarnation < link.life.incarnation && known_life_is_there;
-}
-
 // Reported of a long-running task that has started up.
 constexpr std::uint32_t at_work_percent = 100;
 
@@ -44,7 +37,7 @@
     link.lease = lease_clock{inherited_until_};
     const auto known = remembered_.find(listing.id);
     if (known != remembered_.end()) {
-      const bool restarted = listing.incarnation > known->second.incarnation;
+      const bool restarted = listing.incarnation != known->second.incarnation;
       link.former_lives = known->second.former + (restarted ? 1 : 0);
     }
     log(severity::info,
@@ -54,19 +47,24 @@
   if (listing.incarnation < link.life.incarnation && is_unproved(link)) {
     // The entry before this one may have come from another writer.
     link.life.incarnation = listing.incarnation;
+    ++link.former_lives;
     link.looking = false;
   }
-  if (is_late_entry(link, listing)) {
+  if (listing.incarnation < link.life.incarnation) {
+    // A late entry of a former life, unless the worker's clock was set back: a look will tell.
+    link.unconfirmed = listing;
+    link.next_look = now;
     log(severity::info,
         fmt::format("event=worker_entry_late worker={} incarnation={} known={}",
                     log_value(listing.id.value), listing.incarnation, link.life.incarnation));
-    return;
+    return send_due_orders(link, now);
   }
   // The worker itself says what of the former life's orders reached the new one.
   if (listing.incarnation != link.life.incarnation) link.next_look = now;
   const bool was_draining = link.listing && link.listing->draining;
   link.listing = listing;
   link.listed = true;
+  link.unconfirmed.reset();
   if (listing.draining && !was_draining) {
     log(severity::info, fmt::format("event=worker_drains worker={}", log_value(listing.id.value)));
     drain_runs(link, now);
@@ -249,9 +247,13 @@
   const bool other_life = report.incarnation != 0 && report.incarnation != link->life.incarnation;
   if (other_life && is_unproved(*link) && report.incarnation < link->life.incarnation) {
     link->life.incarnation = report.incarnation;
+    ++link->former_lives;
   } else if (other_life) {
     change_life(*link, report, now);
   }
+  if (link->unconfirmed && link->unconfirmed->incarnation == link->life.incarnation) {
+    on_listing(*std::exchange(link->unconfirmed, std::nullopt), now);
+  }
   if (link->failed_looks >= 2) {
     log(severity::info, fmt::format("event=worker_regained worker={} failed_looks={}",
                                     log_value(life.worker.value), link->failed_looks));
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -82,6 +82,8 @@
   std::uint32_t former_lives = 0;         // that this owner has seen
   std::optional<worker_listing> listing;  // the newest one
   bool listed = false;                    // the registry lists it now
+  // An entry with a life below the known one, until a look shows that life.
+  std::optional<worker_listing> unconfirmed;
   lease_clock lease;
   std::map<task_key, placed_run> runs;
 
