--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -161,6 +161,48 @@
   EXPECT_LT(order_fence(0, 999'999, 99), order_fence(1, 1, 0));
 }
 
+// The gang is tried first in each pass, and would close the worker for the others each time.
+TEST_F(job_owner_test, a_gang_that_does_not_fit_keeps_no_task_from_a_worker_that_has_failed) {
+  const job_id id{"long"};
+  job_table table;
+  table.accept({.id = id,
+                .service = service_id{"s"},
+                .priority = 1,
+                .spec = {.payload = "p",
+                         .steps = {{.demand = {.millicores = 1'000, .memory_mb = 100},
+                                    .long_running = true}}}});
+  const auto& task = table.find(id)->tasks[0];
+  const auto listing = *owner_->links().at(worker).listing;
+  owner_.emplace(job_owner_options{}, 1, table, now_, wall_, log_sink{});
+  owner_->on_accepted(id, now_);
+  owner_->on_listing(listing, now_);
+  answer_look(1, 1, {});
+  for (run_number run = 1; run <= worker_backoff::closing_failures; ++run) {
+    owner_->place(now_, wall_);
+    ASSERT_EQ(task.run, run);
+    record();
+    pass(duration{100});
+    answer_look(
+        1, 1, {},
+        {{.number = run, .run = {.task = {.job = id}, .run = run}, .end = run_end::failed}});
+  }
+  owner_->place(now_, wall_);
+  ASSERT_EQ(task.phase, task_phase::waiting);
+  table.accept({.id = job_id{"gang"},
+                .service = service_id{"s"},
+                .latency_target = duration{60'000},
+                .accepted_at = wall_,
+                .spec = {.payload = "p",
+                         .steps = {{.count = 2,
+                                    .demand = {.millicores = 5'000, .memory_mb = 100},
+                                    .gang = true}}}});
+  owner_->on_accepted(job_id{"gang"}, now_);
+  pass(duration{2'000});
+  answer_look(1, 1, {});
+  owner_->place(now_, wall_);
+  EXPECT_EQ(task.phase, task_phase::assigned);
+}
+
 // The clock that a life's number is taken from may have been set back between the two lives.
 TEST_F(job_owner_test, a_worker_is_used_in_a_life_with_a_lower_number) {
   auto listing = *owner_->links().at(worker).listing;
@@ -185,6 +227,53 @@
   EXPECT_TRUE(owner_->links().at(worker).usable(now_));
 }
 
+// Its tasks would be stopped, or started again elsewhere while they run on.
+TEST_F(job_owner_test, a_late_entry_of_a_former_life_changes_nothing_while_looks_fail) {
+  auto listing = *owner_->links().at(worker).listing;
+  answer_look(1, 9, {});
+  owner_->place(now_, wall_);
+  record();
+  owner_->on_start_answer({.worker = worker, .incarnation = 9}, first_run_,
+                          {.verdict = order_verdict::accepted, .clock = 1'000}, now_);
+  owner_->on_look_answer({.worker = worker, .incarnation = 9},
+                         {.verdict = order_verdict::unanswered}, now_, now_);
+  owner_->on_unlisted(worker);
+  listing.incarnation = 5;
+  listing.address = "b";
+  listing.draining = true;
+  owner_->on_listing(listing, now_);
+  EXPECT_EQ(owner_->links().at(worker).listing->address, "a");
+  EXPECT_FALSE(owner_->links().at(worker).listing->draining);
+  pass(duration{500});
+  answer_look(9, 9, {{.run = first_run_}});
+  EXPECT_EQ(owner_->links().at(worker).listing->address, "a");
+}
+
+TEST_F(job_owner_test, an_idle_worker_that_was_unlisted_returns_with_a_lower_number) {
+  auto listing = *owner_->links().at(worker).listing;
+  answer_look(1, 9, {});
+  owner_->on_unlisted(worker);
+  listing.incarnation = 5;
+  owner_->on_listing(listing, now_);
+  pass(duration{100});
+  EXPECT_EQ(owner_->links().at(worker).life.incarnation, 5U);
+  answer_look(5, 5, {});
+  EXPECT_TRUE(owner_->links().at(worker).usable(now_));
+}
+
+// A late start for the former life would be carried out.
+TEST_F(job_owner_test, fences_grow_when_a_forgotten_worker_returns_with_a_lower_number) {
+  auto listing = *owner_->links().at(worker).listing;
+  answer_look(1, 9, {});
+  const auto lives = owner_->links().at(worker).former_lives;
+  owner_->on_unlisted(worker);
+  pass(duration{100});
+  ASSERT_FALSE(owner_->links().contains(worker));
+  listing.incarnation = 5;
+  owner_->on_listing(listing, now_);
+  EXPECT_GT(owner_->links().at(worker).former_lives, lives);
+}
+
 // A restart would wait for its room until the worker is empty or its transfer is given up.
 TEST_F(job_owner_test, a_worker_that_is_to_be_given_away_stays_for_a_restart_without_other_room) {
   job_table table;
