Count successes of runs that began after a worker's first failure

Cause: since a success counted only if its run began after the newest failure. Tasks fail by their own fault now and then; on a busy worker most good ends are of runs that began before the newest such failure, so that three scattered failures closed sound workers for 2 s, one after the other (worker i-2d2930542f: closed at 32.34 s with four good ends in the 0.8 s before and two 36 ms later). That the room of the lost tasks was on such workers was not rebuilt; that they were closed wrongly is in the log.

Change: the first failure of the series is what a run has to have begun after. A worker that fails all it starts has no such success; a sound one has many.

--- a/coltsfoot/jobs/worker_backoff.h
+++ b/coltsfoot/jobs/worker_backoff.h
@@ -3,7 +3,7 @@
 // Several failures without a success close the worker for a fixed time. After that its starts are
 // spaced until one succeeds, so that a worker that still fails costs few tasks an attempt, and one
 // that has recovered is in use again soon, however often it had failed before. Only runs that began
-// after the newest failure tell whether it has recovered.
+// after the first of these failures tell whether it works.
 //
 //   worker_backoff backoff;
 //   if (backoff.on_failure(now)) log_closed();
@@ -27,8 +27,7 @@
 
   // Returns whether the worker is closed now.
   bool on_failure(time_point now) {
-    ++failures_;
-    newest_failure_ = now;
+    if (failures_++ == 0) first_failure_ = now;
     if (!is_suspect()) return false;
     closed_until_ = now + closed_for;
     return true;
@@ -36,7 +35,7 @@
 
   // A run that began at `began` has ended well or is at work.
   void on_success(time_point began) {
-    if (failures_ > 0 && began <= newest_failure_) return;
+    if (failures_ > 0 && began <= first_failure_) return;
     failures_ = 0;
     closed_until_ = {};
   }
@@ -58,7 +57,7 @@
   bool is_suspect() const { return failures_ >= closing_failures; }
 
   std::uint32_t failures_ = 0;  // since the last success
-  time_point newest_failure_{};
+  time_point first_failure_{};  // of these
   time_point closed_until_{};
   time_point paused_until_{};
 };
