Reproduce requests that a node takes after SIGTERM and never answers

Callers saw connections closed without an answer on nodes that had got SIGTERM four seconds before.

The virtual fleet can now delay the answers of appends.

--- /dev/null
+++ b/tests/jobs/node_shutdown_test.cc
@@ -0,0 +1,150 @@
+// Requests to a node that shuts down, on virtual time.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "tests/jobs/virtual_fleet.h"
+
+namespace coltsfoot::testing {
+namespace {
+
+using jobs::caller_verdict;
+using jobs::job_state;
+
+// Time from the shutdown's start in which a node without faults serves as before.
+constexpr duration serving_time{2'000};
+
+jobs::job_spec short_job() {
+  return {
+      .payload = "p",
+      .steps = {
+          {.count = 1, .demand = {.millicores = 100, .memory_mb = 50}, .estimate = duration{100}}}};
+}
+
+// What callers asked a node for while it shut down.
+struct sent_requests {
+  std::map<std::string, call_id> submissions;  // by job
+  std::vector<call_id> others;
+};
+
+// Sends requests to a node from its shutdown's start until it has ended.
+sent_requests use_until_end(virtual_fleet& fleet, int node, const std::string& known_job) {
+  sent_requests sent;
+  fleet.ask_shutdown(node);
+  for (int i = 0; fleet.runs(node); ++i) {
+    const std::string id = "late" + std::to_string(i);
+    sent.submissions[id] = fleet.submit(node, id, short_job());
+    sent.others.push_back(fleet.query(node, known_job));
+    sent.others.push_back(fleet.cancel(node, "cancelled" + std::to_string(i)));
+    fleet.run_for(duration{7});
+  }
+  return sent;
+}
+
+// A fleet with a job, and with jobs that are cancelled one by one.
+void prepare(virtual_fleet& fleet) {
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{8'000}));
+  fleet.run_for(duration{500});
+  for (int i = 0; i < 700; ++i) {
+    jobs::job_spec unplaceable = short_job();
+    unplaceable.steps[0].demand.millicores = 1'000'000;
+    fleet.submit(0, "cancelled" + std::to_string(i), unplaceable);
+  }
+  fleet.submit(0, "known", short_job());
+  fleet.run_for(duration{500});
+}
+
+// Guards against connections that a node closes at its end without an answer.
+TEST(node_shutdown_test, requests_taken_during_a_shutdown_are_answered) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    virtual_fleet fleet{{.seed = seed, .lost_append_answers = 0.5}};
+    prepare(fleet);
+    const int node = static_cast<int>(seed % 3);
+    const auto sent = use_until_end(fleet, node, "known");
+    std::size_t unanswered = 0;
+    for (const auto& [id, call] : sent.submissions) unanswered += fleet.answer_of(call) == nullptr;
+    for (const auto call : sent.others) unanswered += fleet.answer_of(call) == nullptr;
+    EXPECT_EQ(unanswered, 0U) << "seed " << seed;
+  }
+}
+
+// Guards against a submission that is refused as not run although its append is under way.
+TEST(node_shutdown_test, jobs_refused_during_a_shutdown_never_run) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    virtual_fleet fleet{{.seed = seed, .lost_append_answers = 0.5}};
+    prepare(fleet);
+    const int node = static_cast<int>(seed % 3);
+    const auto sent = use_until_end(fleet, node, "known");
+    fleet.run_for(duration{3'000});
+    std::size_t refused = 0;
+    for (const auto& [id, call] : sent.submissions) {
+      const auto* answer = fleet.answer_of(call);
+      if (answer == nullptr || answer->verdict != caller_verdict::unavailable) continue;
+      ++refused;
+      EXPECT_GT(answer->retry_after, duration{0}) << id << " seed " << seed;
+      const auto asked = fleet.query((node + 1) % 3, id);
+      fleet.run_for(duration{400});
+      ASSERT_NE(fleet.answer_of(asked), nullptr);
+      EXPECT_EQ(fleet.answer_of(asked)->verdict, caller_verdict::no_such_job)
+          << id << " seed " << seed;
+    }
+    EXPECT_GT(refused, 0U) << "seed " << seed;
+  }
+}
+
+// Guards against an append that is under way at the node's end and is never reported to its caller.
+TEST(node_shutdown_test, an_append_under_way_at_the_end_is_reported_as_unknown) {
+  virtual_fleet fleet{{}};
+  prepare(fleet);
+  const int node = (fleet.owner() + 1) % 3;
+  fleet.set_append_time(duration{60'000});
+  fleet.ask_shutdown(node);
+  fleet.run_for(duration{1'500});
+  ASSERT_TRUE(fleet.runs(node));
+  const auto call = fleet.submit(node, "j", short_job());
+  ASSERT_TRUE(fleet.run_until([&] { return !fleet.runs(node); }, duration{4'000}));
+  ASSERT_NE(fleet.answer_of(call), nullptr);
+  EXPECT_EQ(fleet.answer_of(call)->verdict, caller_verdict::outcome_unknown);
+}
+
+// Guards against a node that turns callers away while they are still sent to it.
+TEST(node_shutdown_test, a_node_serves_until_callers_are_sent_elsewhere) {
+  virtual_fleet fleet{{}};
+  prepare(fleet);
+  fleet.ask_shutdown(0);
+  std::map<std::string, call_id> calls;
+  for (int i = 0; i < serving_time / duration{20}; ++i) {
+    const std::string id = "j" + std::to_string(i);
+    calls[id] = fleet.submit(0, id, short_job());
+    fleet.run_for(duration{20});
+  }
+  for (const auto& [id, call] : calls) {
+    ASSERT_NE(fleet.answer_of(call), nullptr) << id;
+    EXPECT_EQ(fleet.answer_of(call)->verdict, caller_verdict::accepted) << id;
+  }
+}
+
+TEST(node_shutdown_test, requests_close_to_the_end_are_refused_at_once) {
+  virtual_fleet fleet{{}};
+  prepare(fleet);
+  const int node = (fleet.owner() + 1) % 3;
+  fleet.set_append_time(duration{60'000});
+  fleet.ask_shutdown(node);
+  // An open request keeps the node from ending early.
+  fleet.run_for(duration{2'000});
+  fleet.submit(node, "open", short_job());
+  fleet.run_for(duration{1'000});
+  ASSERT_TRUE(fleet.runs(node));
+  const auto submitted = fleet.submit(node, "j", short_job());
+  const auto queried = fleet.query(node, "known");
+  const auto cancelled = fleet.cancel(node, "cancelled0");
+  ASSERT_NE(fleet.answer_of(submitted), nullptr);
+  EXPECT_EQ(fleet.answer_of(submitted)->verdict, caller_verdict::unavailable);
+  for (const auto call : {queried, cancelled}) {
+    ASSERT_NE(fleet.answer_of(call), nullptr);
+    EXPECT_EQ(fleet.answer_of(call)->verdict, caller_verdict::gone_wrong);
+  }
+}
+
+}  // namespace
+}  // namespace coltsfoot::testing
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -16,7 +16,6 @@
 constexpr duration tick_interval{25};
 constexpr duration network_delay{1};
 constexpr duration slow_network_delay{600};
-constexpr duration append_time{5};
 constexpr duration worker_beat{1'000};
 constexpr duration absence_interval{250};
 constexpr duration failing_run_length{100};
@@ -414,7 +413,10 @@
       return deliver_after(node, c.timeout,
                            jobs::append_ended{.call = c.call, .verdict = append_verdict::unknown});
     }
-    deliver_after(node, append_time, jobs::append_ended{.call = c.call, .verdict = verdict});
+    deliver_after(node, std::min(append_time_, c.timeout),
+                  jobs::append_ended{
+                      .call = c.call,
+                      .verdict = append_time_ < c.timeout ? verdict : append_verdict::unknown});
   });
 }
 
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -66,6 +66,8 @@
     store_down_ = down;
   }
   void ask_shutdown(int node);
+  // From when an append is recorded until its answer arrives.
+  void set_append_time(duration time) { append_time_ = time; }
   void set_worker_reachable(int worker, bool reachable);
   void restart_worker(int worker);
   // While set, all runs that the worker starts fail soon.
@@ -148,6 +150,7 @@
   std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> event_queue_;
   fake_store store_;
   bool store_down_ = false;
+  duration append_time_{5};
   std::vector<node_state> nodes_;
   std::vector<worker_state> workers_;
   std::map<std::string, jobs::job_spec> specs_;
