Answer every request that a job node takes before it ends

Cause: job_node took requests from SIGTERM until drain_time and then ended, whatever was open.

Change: in the last refusal_time (1.5 s) of drain_time, new requests are refused at once as not run, with Retry-After, so that what is open can end. The node ends as soon as nothing is open and it owns no shard. At the end of drain_time it answers what is still open: a submission whose append may be recorded as unknown (504), others as not run (503). Before refusal_time it serves as before, since callers are still sent to it until its readiness probe has failed twice.

--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -282,15 +282,30 @@
                                            owned_shards(), context_.open_calls.size()));
 }
 
+bool job_node::refuses_requests() const {
+  const auto& options = context_.options;
+  return shutdown_at_ && context_.now - *shutdown_at_ >= options.drain_time - options.refusal_time;
+}
+
 void job_node::shut_down_when_due() {
   if (!shutdown_at_ || ended_) return;
-  if (context_.now - *shutdown_at_ < context_.options.drain_time) return;
+  const auto age = context_.now - *shutdown_at_;
+  const bool idle = refuses_requests() && context_.open_calls.empty() && owned_shards() == 0;
+  if (!idle && age < context_.options.drain_time) return;
   ended_ = true;
-  context_.log(severity::info,
-               fmt::format("event=shutdown_ended open_calls={}", context_.open_calls.size()));
+  context_.log(severity::info, fmt::format("event=shutdown_ended open_calls={} age_ms={}",
+                                           context_.open_calls.size(), age.count()));
+  answer_open_calls();
   context_.push(end_process{});
 }
 
+void job_node::answer_open_calls() {
+  for (auto& shard : shards_) shard->end_caller_appends();
+  for (const auto& [call, query] : std::exchange(peer_queries_, {})) {
+    answer_state(query.caller, query.job);
+  }
+}
+
 void job_node::update_ready() {
   const bool in_contact = context_.store_contact &&
                           context_.now - *context_.store_contact < context_.options.store_silence;
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -27,6 +27,10 @@
 
 void job_node::on(const caller_request& request) {
   context_.open_calls.emplace(request.call, request.path);
+  if (refuses_requests()) {
+    return context_.refuse(request.call, request.action == caller_action::submit,
+                           "the node is shutting down");
+  }
   if (!config_ || !layout().decided()) {
     return context_.answer(request.call, {.verdict = caller_verdict::unavailable,
                                           .retry_after = context_.options.retry_after,
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -43,6 +43,8 @@
   // Appends a record for a caller, who is told `verdict` once it is recorded.
   void append_for_caller(const caller_request& request, keyed_record record,
                          caller_verdict verdict);
+  // Answers all callers who wait for a record. Nothing more is appended for them.
+  void end_caller_appends();
 
   // --- State ---
   shard_number number() const { return number_; }
@@ -85,6 +87,8 @@
 
   // Callers' records.
   void refuse(call_id call, caller_verdict verdict);
+  bool is_expired(const std::string& key, const caller_append& entry) const;
+  void answer_unrecorded(const std::string& key, const caller_append& entry);
   void send_caller_appends();
   void on_caller_append_ended(append_verdict verdict);
   void expire_caller_appends();
--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -21,11 +21,7 @@
 
 // Tells a caller that a record was certainly not made. `verdict` is what it would have been told.
 void job_shard::refuse(call_id call, caller_verdict verdict) {
-  const bool submission = verdict == caller_verdict::accepted;
-  context_.answer(call,
-                  {.verdict = submission ? caller_verdict::unavailable : caller_verdict::gone_wrong,
-                   .retry_after = context_.options.retry_after,
-                   .detail = "the journal can't be written"});
+  context_.refuse(call, verdict == caller_verdict::accepted, "the journal can't be written");
 }
 
 void job_shard::append_for_caller(const caller_request& request, keyed_record record,
@@ -86,37 +82,44 @@
   }
 }
 
-void job_shard::expire_caller_appends() {
-  for (auto at = caller_appends_.begin(); at != caller_appends_.end();) {
-    const auto& [key, entry] = *at;
-    const bool under_way = caller_batch_.contains(key);
-    const bool refused = !entry.doubtful && !under_way && caller_append_call_ == 0 &&
-                         context_.now - entry.arrived >= context_.options.submit_patience;
-    const bool out_of_time = context_.now >= entry.give_up;
-    if (!refused && !out_of_time) {
-      ++at;
-      continue;
-    }
-    const bool certain = !entry.doubtful && !under_way;
-    const auto verdict = !certain ? caller_verdict::outcome_unknown
-                         : entry.verdict == caller_verdict::accepted ? caller_verdict::unavailable
-                                                                     : caller_verdict::gone_wrong;
-    log(severity::warning,
-        fmt::format("event=caller_record key={} outcome={} waited_ms={}", log_value(key),
-                    name_of(verdict), (context_.now - entry.arrived).count()));
-    for (const auto call : entry.calls) {
-      if (certain) {
-        refuse(call, entry.verdict);
-      } else {
-        context_.answer(call, {.verdict = verdict,
-                               .retry_after = context_.options.retry_after,
-                               .detail = "the journal did not answer"});
-      }
+bool job_shard::is_expired(const std::string& key, const caller_append& entry) const {
+  if (context_.now >= entry.give_up) return true;
+  return !entry.doubtful && !caller_batch_.contains(key) && caller_append_call_ == 0 &&
+         context_.now - entry.arrived >= context_.options.submit_patience;
+}
+
+void job_shard::answer_unrecorded(const std::string& key, const caller_append& entry) {
+  const bool certain = !entry.doubtful && !caller_batch_.contains(key);
+  const auto verdict = !certain                                    ? caller_verdict::outcome_unknown
+                       : entry.verdict == caller_verdict::accepted ? caller_verdict::unavailable
+                                                                   : caller_verdict::gone_wrong;
+  log(severity::warning,
+      fmt::format("event=caller_record key={} outcome={} waited_ms={}", log_value(key),
+                  name_of(verdict), (context_.now - entry.arrived).count()));
+  for (const auto call : entry.calls) {
+    if (certain) {
+      refuse(call, entry.verdict);
+    } else {
+      context_.answer(call, {.verdict = verdict,
+                             .retry_after = context_.options.retry_after,
+                             .detail = "the journal did not answer"});
     }
-    at = caller_appends_.erase(at);
   }
 }
 
+void job_shard::expire_caller_appends() {
+  std::erase_if(caller_appends_, [this](const auto& item) {
+    const auto& [key, entry] = item;
+    if (!is_expired(key, entry)) return false;
+    answer_unrecorded(key, entry);
+    return true;
+  });
+}
+
+void job_shard::end_caller_appends() {
+  for (const auto& [key, entry] : std::exchange(caller_appends_, {})) answer_unrecorded(key, entry);
+}
+
 void job_shard::notify_owner(const keyed_record& record) {
   if (!has_other_owner()) return;
   context_.push(
--- a/coltsfoot/jobs/node_context.cc
+++ b/coltsfoot/jobs/node_context.cc
@@ -38,4 +38,10 @@
   push(answer_caller_call{.call = call, .answer = std::move(answer)});
 }
 
+void node_context::refuse(call_id call, bool is_submission, std::string detail) {
+  answer(call, {.verdict = is_submission ? caller_verdict::unavailable : caller_verdict::gone_wrong,
+                .retry_after = options.retry_after,
+                .detail = std::move(detail)});
+}
+
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -45,14 +45,17 @@
   duration read_gap_per_shard{85};
   duration append_gap_per_shard{5};
   duration longest_append_gap{20};
-  duration claim_retry{200};        // after a claim that was not recorded
-  duration submit_patience{400};    // how long a submission is tried before it is refused
-  duration peer_timeout{300};       // of a question to the owner
-  duration fresh{1'000};            // age up to which a copy of the journal proves absence
-  duration store_silence{2'500};    // without the store for this long, a node is not ready
-  duration pause_limit{1'000};      // a pause in which a successor may have taken over
-  duration retry_after{1'000};      // told to callers
-  duration drain_time{4'000};       // from the shutdown's start to the end of the process
+  duration claim_retry{200};      // after a claim that was not recorded
+  duration submit_patience{400};  // how long a submission is tried before it is refused
+  duration peer_timeout{300};     // of a question to the owner
+  duration fresh{1'000};          // age up to which a copy of the journal proves absence
+  duration store_silence{2'500};  // without the store for this long, a node is not ready
+  duration pause_limit{1'000};    // a pause in which a successor may have taken over
+  duration retry_after{1'000};    // told to callers
+  // From the shutdown's start to the end of the node, which comes earlier if nothing is open.
+  duration drain_time{4'000};
+  // The last part of `drain_time`: new requests are refused, and open ones get their answers.
+  duration refusal_time{1'500};
   duration registry_quiet{500};     // without a new worker, a first layout is decided
   duration layout_patience{6'000};  // from the start of the first owner to the first layout
   balance_options balance;
@@ -92,6 +95,8 @@
   }
   // Answers a caller; each refusal leaves a log line.
   void answer(call_id call, caller_answer answer);
+  // Tells a caller that what it asked for has certainly not been done.
+  void refuse(call_id call, bool is_submission, std::string detail);
 };
 
 }  // namespace coltsfoot::jobs
