Close no caller's connection of a job node without a response

Cause: run_fleet_daemon stopped the HTTP server as soon as the control thread had ended. Requests that were still in the mailbox were never answered, and responses that were made but not yet written were dropped with the server's threads.

Change: caller_gateway holds the open requests and the server. Once the node has ended, it refuses what no node has seen, and whatever still comes, as not run; it waits up to 1 s until the responses are written, and only then stops the server. The node answers all that it has seen, so that "not run" is true. The log says how many responses could not be written.

--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -5,11 +5,10 @@
 
 #include <atomic>
 #include <csignal>
-#include <mutex>
 #include <random>
 #include <thread>
-#include <unordered_map>
 
+#include "coltsfoot/daemon/caller_gateway.h"
 #include "coltsfoot/daemon/fleet_metrics.h"
 #include "coltsfoot/daemon/mailbox.h"
 #include "coltsfoot/daemon/shared_text.h"
@@ -44,6 +43,9 @@
 // Part of the shutdown grace period that is reserved for closing the sockets.
 constexpr duration socket_close_margin{1'500};
 
+// Maximum time to wait until the last responses to callers are written; within the margin above.
+constexpr duration response_write_timeout{1'000};
+
 using node_mailbox = basic_mailbox<jobs::node_event>;
 
 // Includes the time in which the machine was suspended, so that a pause is detected.
@@ -64,41 +66,17 @@
           .port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
 }
 
-// Holds the responders of callers' requests until they are answered.
-class open_calls {
- public:
-  call_id add(internal::rest_responder respond) {
-    const std::lock_guard lock{mutex_};
-    const call_id call = ++last_;
-    responders_.emplace(call, std::move(respond));
-    return call;
-  }
-  internal::rest_responder take(call_id call) {
-    const std::lock_guard lock{mutex_};
-    const auto found = responders_.find(call);
-    if (found == responders_.end()) return {};
-    auto respond = std::move(found->second);
-    responders_.erase(found);
-    return respond;
-  }
-
- private:
-  std::mutex mutex_;
-  call_id last_ = 0;
-  std::unordered_map<call_id, internal::rest_responder> responders_;
-};
-
 // Executes the commands of the node.
 class fleet_executor {
  public:
   fleet_executor(platform::store_client& store, platform::worker_client& workers,
-                 peer_client& peers, peer_server& peer_requests, open_calls& calls,
+                 peer_client& peers, peer_server& peer_requests, caller_gateway& callers,
                  node_mailbox& events)
       : store_(store),
         workers_(workers),
         peers_(peers),
         peer_requests_(peer_requests),
-        calls_(calls),
+        callers_(callers),
         events_(events) {}
 
   void execute(jobs::node_command command) {
@@ -109,12 +87,10 @@
 
  private:
   void run(const jobs::answer_caller_call& c) {
-    auto respond = calls_.take(c.call);
-    if (!respond) return;
     auto response = platform::encode_caller_answer(c.answer);
     // Closing the connection makes callers of a node that is not ready connect to another node.
     response.close = !ready_;
-    respond(std::move(response));
+    callers_.answer(c.call, std::move(response));
   }
   void run(const jobs::append_to_jobs& c) {
     store_.append(c, [this, call = c.call](jobs::append_verdict verdict) {
@@ -144,7 +120,7 @@
   platform::worker_client& workers_;
   peer_client& peers_;
   peer_server& peer_requests_;
-  open_calls& calls_;
+  caller_gateway& callers_;
   node_mailbox& events_;
   std::atomic<bool> ready_ = false;
   std::atomic<bool> ended_ = false;
@@ -244,7 +220,6 @@
            fmt::format("event=starting version={} zone={} callers={} store={}", COLTSFOOT_VERSION,
                        log_value(settings.zone), settings.caller_address, settings.store_address));
   node_mailbox events;
-  open_calls calls;
   shared_text metrics;
   // Two clients, so that requests to many workers do not delay those to the store.
   http_client store_http{
@@ -262,22 +237,24 @@
         events.push(jobs::peer_asked{.call = call, .request = std::move(request)});
       },
       sink};
-  fleet_executor executor{store, workers, peers, peer_requests, calls, events};
-
+  const auto options = node_options(settings);
   const auto caller_listen = to_listen_address(settings.caller_address);
-  internal::rest_listener callers{
+  caller_gateway callers{
       {.ip = caller_listen.ip,
        .port = caller_listen.port,
        .max_body_bytes = std::size_t{512} * 1024},
-      [&](const internal::rest_request& request, const internal::rest_responder& respond) {
-        const auto call = calls.add(respond);
-        auto decoded = platform::decode_caller_request(request, call);
-        if (decoded) {
+      platform::encode_caller_answer({.verdict = jobs::caller_verdict::unavailable,
+                                      .retry_after = options.retry_after,
+                                      .detail = "the node is shutting down"}),
+      [&](call_id call, const internal::rest_request& request) {
+        if (auto decoded = platform::decode_caller_request(request, call)) {
           events.push(std::move(*decoded));
-        } else if (auto own = calls.take(call)) {
-          own({.status = 405});
+        } else {
+          callers.answer(call, {.status = 405});
         }
       }};
+  fleet_executor executor{store, workers, peers, peer_requests, callers, events};
+
   const auto readiness_listen = to_listen_address(settings.readiness_address);
   internal::rest_listener readiness{
       {.ip = readiness_listen.ip, .port = readiness_listen.port},
@@ -297,14 +274,16 @@
       !started(readiness.start(), "readiness") || !started(metrics_server.start(), "metrics")) {
     return 1;
   }
-  jobs::job_node node{node_options(settings), boot_time_now(), sink};
+  jobs::job_node node{options, boot_time_now(), sink};
   std::thread control{[&] {
     run_control_thread(node, events, executor, metrics);
     kill(getpid(), SIGUSR1);
   }};
   handle_signals(signals, events, settings_path);
   control.join();
-  callers.stop();
+  const auto unwritten = callers.close(response_write_timeout);
+  log_line(unwritten == 0 ? severity::info : severity::warning,
+           fmt::format("event=callers_closed unwritten_responses={}", unwritten));
   readiness.stop();
   metrics_server.stop();
   peers.stop();
