Refuse only what would wait at the end of a job node's shutdown

A caller who repeats the submission of an accepted job in the last part of a node's shutdown was told that it has not run and never will, although the job runs; a caller who asked for a job's state was refused although the node knew it.

Cause: the refusal stood before the look-up of the job. Now what can be answered at once is answered: repeats of accepted jobs, cancellations of cancelled jobs, states from the node's own copy. A request for a record whose append is under way waits for that append. Only what would begin to wait for the store is refused. A node also no longer ends early while it claims a shard, and with a short grace period at least two thirds of the drain time are served.

--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -163,6 +163,7 @@
   options.layout.most_shards = settings.journal_partitions;
   options.drain_time =
       std::max(settings.shutdown_grace - socket_close_margin, settings.shutdown_grace / 2);
+  options.refusal_time = std::min(options.refusal_time, options.drain_time / 3);
   return options;
 }
 
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -32,6 +32,9 @@
     for (auto& shard : shards_) shard->on_pause();
   }
   last_event_ = now;
+  const auto& options = context_.options;
+  context_.refuses_waiting =
+      shutdown_at_ && now - *shutdown_at_ >= options.drain_time - options.refusal_time;
   for (auto& event : events) {
     std::visit([this](auto&& e) { on(std::forward<decltype(e)>(e)); }, std::move(event));
   }
@@ -282,16 +285,12 @@
                                            owned_shards(), context_.open_calls.size()));
 }
 
-bool job_node::refuses_requests() const {
-  const auto& options = context_.options;
-  return shutdown_at_ && context_.now - *shutdown_at_ >= options.drain_time - options.refusal_time;
-}
-
 void job_node::shut_down_when_due() {
   if (!shutdown_at_ || ended_) return;
+  const auto& options = context_.options;
   const auto age = context_.now - *shutdown_at_;
-  const bool idle = refuses_requests() && context_.open_calls.empty() && owned_shards() == 0;
-  if (!idle && age < context_.options.drain_time) return;
+  const bool idle = context_.open_calls.empty() && context_.owned_shards == 0;
+  if (age < options.drain_time && !(idle && context_.refuses_waiting)) return;
   ended_ = true;
   context_.log(severity::info, fmt::format("event=shutdown_ended open_calls={} age_ms={}",
                                            context_.open_calls.size(), age.count()));
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -105,8 +105,6 @@
   void extend_layout();
   bool first_layout_is_due() const;
 
-  // Whether the shutdown has come so far that new requests are refused.
-  bool refuses_requests() const;
   void shut_down_when_due();
   void answer_open_calls();
   void update_ready();
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -27,10 +27,6 @@
 
 void job_node::on(const caller_request& request) {
   context_.open_calls.emplace(request.call, request.path);
-  if (refuses_requests()) {
-    return context_.refuse(request.call, request.action == caller_action::submit,
-                           "the node is shutting down");
-  }
   if (!config_ || !layout().decided()) {
     return context_.answer(request.call, {.verdict = caller_verdict::unavailable,
                                           .retry_after = context_.options.retry_after,
@@ -132,7 +128,8 @@
   // An unknown job can be asked for at its owner only if it is known which shard it belongs to.
   auto* shard =
       found.shard != nullptr ? found.shard : shards_.at(layout().shard_of_job(id, {})).get();
-  if (final_state || !shard->has_other_owner()) return answer_state(request.call, id);
+  const bool own_copy_decides = final_state || !shard->has_other_owner();
+  if (own_copy_decides || context_.refuses_waiting) return answer_state(request.call, id);
   const auto call = context_.new_call();
   peer_queries_.emplace(call, peer_query{.caller = request.call, .job = id});
   context_.push(ask_peer{.call = call,
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -86,7 +86,7 @@
   };
 
   // Callers' records.
-  void refuse(call_id call, caller_verdict verdict);
+  void refuse(call_id call, caller_verdict verdict, std::string detail);
   bool is_expired(const std::string& key, const caller_append& entry) const;
   void answer_unrecorded(const std::string& key, const caller_append& entry);
   void send_caller_appends();
--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -20,24 +20,32 @@
 }  // namespace
 
 // Tells a caller that a record was certainly not made. `verdict` is what it would have been told.
-void job_shard::refuse(call_id call, caller_verdict verdict) {
-  context_.refuse(call, verdict == caller_verdict::accepted, "the journal can't be written");
+void job_shard::refuse(call_id call, caller_verdict verdict, std::string detail) {
+  context_.refuse(call, verdict == caller_verdict::accepted, std::move(detail));
 }
 
 void job_shard::append_for_caller(const caller_request& request, keyed_record record,
                                   caller_verdict verdict) {
-  // Without an answer to the newest read, the store is away: the caller can come back later.
-  if (!journal_.healthy_since()) return refuse(request.call, verdict);
-  auto& entry = caller_appends_[record.key];
   const auto deadline = context_.now + std::max(request.time_left - answer_margin, duration{0});
-  if (entry.calls.empty()) {
-    entry.record = std::move(record);
-    entry.verdict = verdict;
-    entry.arrived = context_.now;
-    entry.give_up = deadline;
+  const auto open = caller_appends_.find(record.key);
+  if (open != caller_appends_.end()) {
+    open->second.give_up = std::min(open->second.give_up, deadline);
+    open->second.calls.push_back(request.call);
+    return;
+  }
+  if (context_.refuses_waiting) {
+    return refuse(request.call, verdict, "the node is shutting down");
+  }
+  // Without an answer to the newest read, the store is away: the caller can come back later.
+  if (!journal_.healthy_since()) {
+    return refuse(request.call, verdict, "the journal can't be written");
   }
-  entry.give_up = std::min(entry.give_up, deadline);
-  entry.calls.push_back(request.call);
+  auto key = record.key;
+  caller_appends_.emplace(std::move(key), caller_append{.record = std::move(record),
+                                                        .calls = {request.call},
+                                                        .verdict = verdict,
+                                                        .arrived = context_.now,
+                                                        .give_up = deadline});
 }
 
 void job_shard::send_caller_appends() {
@@ -98,7 +106,7 @@
                   name_of(verdict), (context_.now - entry.arrived).count()));
   for (const auto call : entry.calls) {
     if (certain) {
-      refuse(call, entry.verdict);
+      refuse(call, entry.verdict, "the journal can't be written");
     } else {
       context_.answer(call, {.verdict = verdict,
                              .retry_after = context_.options.retry_after,
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -54,7 +54,7 @@
   duration retry_after{1'000};    // told to callers
   // From the shutdown's start to the end of the node, which comes earlier if nothing is open.
   duration drain_time{4'000};
-  // The last part of `drain_time`: new requests are refused, and open ones get their answers.
+  // The last part of `drain_time`: new requests that would have to wait for the store are refused.
   duration refusal_time{1'500};
   duration registry_quiet{500};     // without a new worker, a first layout is decided
   duration layout_patience{6'000};  // from the start of the first owner to the first layout
@@ -85,6 +85,8 @@
   std::map<call_id, std::string> open_calls;  // of callers, with the path asked for
   std::optional<time_point> store_contact;
   bool shutting_down = false;
+  // Close to the end of the shutdown: only what can be answered at once is answered.
+  bool refuses_waiting = false;
   std::size_t owned_shards = 0;  // claims under way included
   job_node_stats stats;
 
