Refuse no repeat whose first append may still be executed

A caller who got 504 (outcome unknown) and submitted the job again to the same node could get 503, "never runs", while the store was still to execute an append of the first attempt; the job then ran.

Cause: the doubt about a record was kept in the entry of its open calls and went with it. A repeat began without doubt, and was refused as not run when the store was away, at the end of submit_patience, or now at the end of a shutdown.

Change: the shard remembers for 10 s which records have an unknown outcome. A repeat of such a record is tried like any other, but never refused as not run; where it would be, it is told that the outcome is unknown.

node_shutdown_test, a_repeat_of_a_submission_with_unknown_outcome_is_not_refused: failed before in both cases (store cut off; shutdown), passes now. The virtual fleet can now execute callers' appends 5 s late.

--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -87,6 +87,8 @@
 
   // Callers' records.
   void refuse(call_id call, caller_verdict verdict, std::string detail);
+  void answer_unknown(call_id call);
+  bool may_be_recorded_late(const std::string& key) const;
   bool is_expired(const std::string& key, const caller_append& entry) const;
   void answer_unrecorded(const std::string& key, const caller_append& entry);
   void send_caller_appends();
@@ -125,7 +127,9 @@
 
   std::map<std::string, caller_append> caller_appends_;  // by key
   std::set<std::string> caller_batch_;                   // keys in the append under way
-  call_id caller_append_call_ = 0;                       // 0: none is under way
+  // When callers were told that the outcome of a record is unknown, by key.
+  std::map<std::string, time_point> unknown_outcomes_;
+  call_id caller_append_call_ = 0;  // 0: none is under way
   time_point next_caller_append_{};
 
   std::optional<owner_claim> pending_claim_;
--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -17,6 +17,9 @@
 // Time kept back from a caller's deadline for the answer's way.
 constexpr duration answer_margin{100};
 
+// The store may execute an append that it has not answered this much later.
+constexpr duration late_append_time{10'000};
+
 }  // namespace
 
 // Tells a caller that a record was certainly not made. `verdict` is what it would have been told.
@@ -33,19 +36,21 @@
     open->second.calls.push_back(request.call);
     return;
   }
-  if (context_.refuses_waiting) {
-    return refuse(request.call, verdict, "the node is shutting down");
-  }
   // Without an answer to the newest read, the store is away: the caller can come back later.
-  if (!journal_.healthy_since()) {
-    return refuse(request.call, verdict, "the journal can't be written");
+  const bool store_away = !journal_.healthy_since();
+  const bool doubtful = may_be_recorded_late(record.key);
+  if (store_away || context_.refuses_waiting) {
+    if (doubtful) return answer_unknown(request.call);
+    return refuse(request.call, verdict,
+                  store_away ? "the journal can't be written" : "the node is shutting down");
   }
   auto key = record.key;
   caller_appends_.emplace(std::move(key), caller_append{.record = std::move(record),
                                                         .calls = {request.call},
                                                         .verdict = verdict,
                                                         .arrived = context_.now,
-                                                        .give_up = deadline});
+                                                        .give_up = deadline,
+                                                        .doubtful = doubtful});
 }
 
 void job_shard::send_caller_appends() {
@@ -90,6 +95,16 @@
   }
 }
 
+void job_shard::answer_unknown(call_id call) {
+  context_.answer(call, {.verdict = caller_verdict::outcome_unknown,
+                         .retry_after = context_.options.retry_after,
+                         .detail = "the journal did not answer"});
+}
+
+bool job_shard::may_be_recorded_late(const std::string& key) const {
+  return unknown_outcomes_.contains(key) || caller_batch_.contains(key);
+}
+
 bool job_shard::is_expired(const std::string& key, const caller_append& entry) const {
   if (context_.now >= entry.give_up) return true;
   return !entry.doubtful && !caller_batch_.contains(key) && caller_append_call_ == 0 &&
@@ -108,14 +123,16 @@
     if (certain) {
       refuse(call, entry.verdict, "the journal can't be written");
     } else {
-      context_.answer(call, {.verdict = verdict,
-                             .retry_after = context_.options.retry_after,
-                             .detail = "the journal did not answer"});
+      answer_unknown(call);
     }
   }
+  if (!certain) unknown_outcomes_[key] = context_.now;
 }
 
 void job_shard::expire_caller_appends() {
+  std::erase_if(unknown_outcomes_, [this](const auto& outcome) {
+    return context_.now - outcome.second >= late_append_time;
+  });
   std::erase_if(caller_appends_, [this](const auto& item) {
     const auto& [key, entry] = item;
     if (!is_expired(key, entry)) return false;
--- a/tests/jobs/node_shutdown_test.cc
+++ b/tests/jobs/node_shutdown_test.cc
@@ -166,5 +166,32 @@
   EXPECT_EQ(fleet.answer_of(open)->verdict, caller_verdict::accepted);
 }
 
+// Guards against a repeat that is refused as not run while an append of the first attempt may still
+// be executed.
+TEST(node_shutdown_test, a_repeat_of_a_submission_with_unknown_outcome_is_not_refused) {
+  for (const bool shutting_down : {false, true}) {
+    virtual_fleet fleet{{}};
+    prepare(fleet);
+    const int node = (fleet.owner() + 1) % 3;
+    fleet.set_late_caller_appends(true);
+    if (shutting_down) fleet.ask_shutdown(node);
+    const auto first = fleet.submit(node, "j", short_job());
+    fleet.run_for(duration{2'000});
+    // Keeps the node from ending early.
+    fleet.submit(node, "open", short_job());
+    fleet.run_for(duration{950});
+    ASSERT_NE(fleet.answer_of(first), nullptr);
+    ASSERT_EQ(fleet.answer_of(first)->verdict, caller_verdict::outcome_unknown);
+    if (!shutting_down) fleet.cut_store(node, true);
+    fleet.run_for(duration{100});
+    ASSERT_TRUE(fleet.runs(node));
+    const auto repeat = fleet.submit(node, "j", short_job());
+    fleet.run_for(duration{10'000});
+    ASSERT_NE(fleet.answer_of(repeat), nullptr);
+    EXPECT_EQ(fleet.answer_of(repeat)->verdict, caller_verdict::outcome_unknown) << shutting_down;
+    EXPECT_TRUE(fleet.reaches((node + 1) % 3, "j", job_state::completed, duration{2'000}));
+  }
+}
+
 }  // namespace
 }  // namespace coltsfoot::testing
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -16,6 +16,7 @@
 constexpr duration tick_interval{25};
 constexpr duration network_delay{1};
 constexpr duration slow_network_delay{600};
+constexpr duration late_append_delay{5'000};
 constexpr duration worker_beat{1'000};
 constexpr duration absence_interval{250};
 constexpr duration failing_run_length{100};
@@ -406,6 +407,11 @@
         node, duration{50},
         jobs::append_ended{.call = c.call, .verdict = append_verdict::not_recorded});
   }
+  if (late_caller_appends_ && !c.sequence) {
+    after(late_append_delay, [this, c] { store_.append(c); });
+    return deliver_after(node, c.timeout,
+                         jobs::append_ended{.call = c.call, .verdict = append_verdict::unknown});
+  }
   after(network_delay, [this, node, c] {
     const auto verdict = store_.append(c);
     if (chance(options_.compacted_appends)) store_.compact();
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -68,6 +68,8 @@
   void ask_shutdown(int node);
   // From when an append is recorded until its answer arrives.
   void set_append_time(duration time) { append_time_ = time; }
+  // While set, appends for callers are not answered and are executed seconds later.
+  void set_late_caller_appends(bool late) { late_caller_appends_ = late; }
   void set_worker_reachable(int worker, bool reachable);
   void restart_worker(int worker);
   // While set, all runs that the worker starts fail soon.
@@ -151,6 +153,7 @@
   fake_store store_;
   bool store_down_ = false;
   duration append_time_{5};
+  bool late_caller_appends_ = false;
   std::vector<node_state> nodes_;
   std::vector<worker_state> workers_;
   std::map<std::string, jobs::job_spec> specs_;
