Let tasks that have never run hold back no restart in another shard

Cause: free_rooms took the room that waiting long-running tasks want off their shard, also for tasks that had never run and that wait for another reason than room, such as their limit per worker. To the owner of a full shard, the other shard then looked full.

Change: room that is taken for first starts is still there for restarts. Restarts hold back both, as before. The owner of the receiving shard had the room for its own first starts all the while and could not use it.

--- a/coltsfoot/jobs/job_node_handovers.cc
+++ b/coltsfoot/jobs/job_node_handovers.cc
@@ -124,7 +124,8 @@
   }
 }
 
-// What the journals leave free, less the room that long-running tasks wait for in each shard.
+// What the journals leave free, less the room that long-running tasks wait for in each shard. Tasks
+// that have never run may wait for another reason than room, so they hold back no restart.
 shard_rooms job_node::free_rooms() const {
   shard_rooms rooms{shards_.size()};
   const auto plausible = plausible_worker_capacity();
--- a/coltsfoot/jobs/shard_rooms.cc
+++ b/coltsfoot/jobs/shard_rooms.cc
@@ -30,11 +30,16 @@
   room* tightest = nullptr;
   for (auto& worker : workers_.at(shard)) {
     if (!suits(worker, need)) continue;
-    const bool tighter = tightest == nullptr || worker.free.millicores < tightest->free.millicores;
+    const bool tighter = tightest == nullptr ||
+                         free_for(need, worker).millicores < free_for(need, *tightest).millicores;
     if (tighter) tightest = &worker;
   }
   if (tightest == nullptr) return false;
-  tightest->free -= need.step->demand;
+  if (need.has_run) {
+    tightest->free -= need.step->demand;
+  } else {
+    tightest->first_starts += need.step->demand;
+  }
   return true;
 }
 
@@ -56,13 +61,20 @@
   return best;
 }
 
+resources shard_rooms::free_for(const task_need& need, const room& worker) {
+  auto free = worker.free;
+  if (!need.has_run) free -= worker.first_starts;
+  return free;
+}
+
 bool shard_rooms::suits(const room& worker, const task_need& need) {
   const auto& step = *need.step;
   if (worker.listing->service != need.service) return false;
   const bool labelled =
       step.required_label.empty() || worker.listing->has_label(step.required_label);
-  if (!labelled || !step.demand.fits_in(worker.free)) return false;
-  return need.has_run || leaves_room_for_short(step, worker.listing->capacity, worker.free);
+  const auto free = free_for(need, worker);
+  if (!labelled || !step.demand.fits_in(free)) return false;
+  return need.has_run || leaves_room_for_short(step, worker.listing->capacity, free);
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/shard_rooms.h
+++ b/coltsfoot/jobs/shard_rooms.h
@@ -39,7 +39,7 @@
   // Something that runs holds room on a worker, which is thereby known to live.
   void take(const worker_id& worker, const resources& demand);
   // Takes room for a task on the worker of the shard that it leaves the least room on. Returns
-  // whether there was any.
+  // whether there was any. Room that a first start takes is still there for tasks that have run.
   bool reserve(shard_number shard, const task_need& need);
   // The shard with the most workers that have room for the task, `own` left out. Workers that run
   // something come first: one that runs nothing may be lost, and the registry not know it yet.
@@ -49,9 +49,11 @@
   struct room {
     const worker_listing* listing = nullptr;
     resources free;
+    resources first_starts;  // of `free`, taken for tasks that have never run
     bool runs_something = false;
   };
 
+  static resources free_for(const task_need& need, const room& worker);
   static bool suits(const room& worker, const task_need& need);
 
   std::vector<std::vector<room>> workers_;                               // by shard
--- a/coltsfoot/jobs/shard_rooms_test.cc
+++ b/coltsfoot/jobs/shard_rooms_test.cc
@@ -74,6 +74,18 @@
   EXPECT_FALSE(rooms.reserve(1, need_of(step)));
 }
 
+TEST(shard_rooms_test, first_starts_hold_back_other_first_starts_but_no_restart) {
+  const auto worker = listing("w");
+  shard_rooms rooms{2};
+  rooms.add_worker(1, worker);
+  const auto step = lasting(30'000);
+  EXPECT_TRUE(rooms.reserve(1, need_of(step, false)));
+  EXPECT_EQ(rooms.best_for(need_of(lasting(40'000), false), 0), std::nullopt);
+  EXPECT_EQ(rooms.best_for(need_of(lasting(40'000)), 0), 1U);
+  EXPECT_TRUE(rooms.reserve(1, need_of(step)));
+  EXPECT_EQ(rooms.best_for(need_of(lasting(40'000)), 0), std::nullopt);
+}
+
 TEST(shard_rooms_test, only_workers_that_may_run_the_task_count) {
   const auto worker = listing("w", "b");
   shard_rooms rooms{2};
--- a/tests/jobs/absent_task_test.cc
+++ b/tests/jobs/absent_task_test.cc
@@ -11,6 +11,12 @@
   return {.nodes = nodes, .workers = 16, .seed = seed, .workers_per_shard = 4};
 }
 
+// A worker that does not answer keeps its tasks until its lease expires.
+constexpr duration max_lease{5'200};
+
+// Maximum time from the last run of a long-running task to its restart if there is free capacity.
+constexpr duration max_absence{6'000};
+
 jobs::job_spec long_running_job(std::uint32_t width, std::int64_t millicores) {
   jobs::job_spec spec{.payload = "p", .steps = {{.count = width}}};
   spec.steps[0].demand = {.millicores = millicores, .memory_mb = 500};
@@ -44,16 +50,18 @@
 };
 
 // Starts a long-running task on every worker that leaves three cores free. The workers of the first
-// shard then have too little free capacity for another task of 2.2 cores.
-void fill_first_shard(virtual_fleet& fleet, job_names& names) {
+// shard then have too little free capacity for another task of 2.2 cores. Returns the job with such
+// tasks.
+std::string fill_first_shard(virtual_fleet& fleet, job_names& names) {
   for (jobs::shard_number shard = 0; shard < 4; ++shard) {
     const auto name = names.next(shard);
     fleet.submit(0, name, long_running_job(4, 5'000));
-    ASSERT_TRUE(fleet.run_until([&] { return fleet.running(name) == 4; }, duration{4'000}));
+    EXPECT_TRUE(fleet.run_until([&] { return fleet.running(name) == 4; }, duration{4'000}));
   }
   const auto rest = names.next(jobs::first_shard);
   fleet.submit(0, rest, long_running_job(4, 2'200));
-  ASSERT_TRUE(fleet.run_until([&] { return fleet.running(rest) == 4; }, duration{4'000}));
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.running(rest) == 4; }, duration{4'000}));
+  return rest;
 }
 
 TEST(absent_task_test, tasks_of_a_lost_worker_run_on_busy_workers_of_another_shard) {
@@ -74,6 +82,29 @@
   }
 }
 
+// The other shards have capacity for the task, and tasks that have never run and can't use it.
+TEST(absent_task_test, first_starts_that_wait_in_another_shard_hold_back_no_restart) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    virtual_fleet fleet{four_shards(seed)};
+    wait_until_settled(fleet);
+    job_names names{fleet};
+    const auto lost = fill_first_shard(fleet, names);
+    auto one_per_worker = long_running_job(160, 300);
+    one_per_worker.steps[0].max_per_worker = 1;
+    fleet.submit(0, names.next(1), one_per_worker);
+    fleet.run_for(duration{6'000});
+    for (int worker = 0; worker < 16; ++worker) {
+      if (fleet.worker(worker).free().millicores >= 2'000) continue;
+      fleet.set_worker_reachable(worker, false);
+      break;
+    }
+    // The tasks of the other job may not share a worker, which the watch for absences doesn't know.
+    fleet.run_for(max_lease + max_absence);
+    EXPECT_EQ(fleet.running(lost), 4U) << "seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
 // The other workers are full, so that the tasks can only run where they failed before.
 TEST(absent_task_test, tasks_run_on_a_worker_that_has_recovered_from_failing_all_its_runs) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
