Answer all requests in progress when coltsfootd ends at its shutdown limit

Callers of a node whose shutdown_limit passed with requests in progress saw their connections closed without an answer, 2 s after shutdown_time_up.

Cause (by reading): at the limit, node_core pushed stop_process and left the requests of the router as they were. The daemon then waited for answers that nothing could make any more.

Ruled out: that such a request could be answered after stop_process, since the control thread handles no further event; that the limit passes in the releasing phase with requests in progress, since draining ends only when there are none and the router takes no new ones.

Change: before stop_process, the router answers every request in progress. One that waits for its next attempt is refused as not run, with the reason shutting_down. One that is dispatched, or of which an earlier attempt ended without a verdict, is reported as after a lost reply (backend_failed, unknown). A repeat is reported as unknown in any case.

Tests: with an empty refuse_in_progress, the four new cases of request_router_test fail (no answer), and the new case of whole_path_test fails at the first request (no answer when the node has stopped). All cases of both tests and invariants_test pass with the change.

--- a/coltsfoot/node/node_core.cc
+++ b/coltsfoot/node/node_core.cc
@@ -297,7 +297,10 @@
     out_.log(severity::warning,
              fmt::format("event=shutdown_time_up requests={} units={}", router_.in_progress(),
                          racks_.owned() + customers_.owned()));
-    if (advance("time_up")) out_.push(stop_process{});
+    if (!advance("time_up")) return;
+    auto routing = view();
+    router_.refuse_in_progress(routing);
+    out_.push(stop_process{});
   }
 }
 
--- a/coltsfoot/routing/request_router.cc
+++ b/coltsfoot/routing/request_router.cc
@@ -46,6 +46,10 @@
   }
 }
 
+service_answer shutting_down_refusal() {
+  return refusal(refusal_reason::shutting_down, "this node is shutting down");
+}
+
 service_answer refusal_of(peer_failure failure) {
   if (failure == peer_failure::not_processed) {
     return refusal(refusal_reason::not_owner, "the owner was not reached");
@@ -120,9 +124,22 @@
   for (const auto caller : due) attempt(caller, now, view);
 }
 
+void request_router::refuse_in_progress(router_view& view) {
+  std::vector<call_id> open;
+  open.reserve(requests_.size());
+  for (const auto& [caller, routed] : requests_) open.push_back(caller);
+  for (const auto caller : open) {
+    const auto& routed = requests_.at(caller);
+    const bool may_run = routed.maybe_ran || routed.phase == request_phase::forwarding;
+    finish(caller, may_run ? refusal_of(peer_failure::unknown) : shutting_down_refusal(), "refuse",
+           view);
+  }
+  calls_.clear();
+}
+
 std::optional<service_answer> request_router::check(const service_request& request,
                                                     const cluster_config& config) const {
-  if (draining_) return refusal(refusal_reason::shutting_down, "this node is shutting down");
+  if (draining_) return shutting_down_refusal();
   if (request.customer.empty() || request.service.empty()) {
     return refusal(refusal_reason::bad_request, "customer and service are required");
   }
--- a/coltsfoot/routing/request_router.h
+++ b/coltsfoot/routing/request_router.h
@@ -77,6 +77,9 @@
 
   // Refuses new requests as not run. Those in progress go on to their end.
   void begin_drain() { draining_ = true; }
+  // Answers all requests in progress, for a node that ends before their replies arrive: as not run
+  // if no attempt may have run, otherwise as unknown.
+  void refuse_in_progress(router_view& view);
   std::size_t in_progress() const { return requests_.size(); }
 
   // Time from a caller's request to its whole answer.
--- a/coltsfoot/routing/request_router_test.cc
+++ b/coltsfoot/routing/request_router_test.cc
@@ -192,5 +192,63 @@
   EXPECT_EQ(answer->answer.executed, execution::not_run);
 }
 
+// Guards against a dispatched request without an answer, or with "not run", when the node ends.
+TEST_F(request_router_test, reports_dispatched_requests_as_unknown_when_the_node_ends) {
+  receive(request_of("c"));
+  const auto sent = take<send_peer_request>();
+  ASSERT_TRUE(sent);
+  router_.refuse_in_progress(view_);
+  const auto answer = take<answer_caller>();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->call, 1U);
+  EXPECT_EQ(answer->answer.reason, refusal_reason::backend_failed);
+  EXPECT_EQ(answer->answer.executed, execution::unknown);
+  EXPECT_EQ(router_.in_progress(), 0U);
+  reply(sent->call, {.answered = true, .status = 200, .body = "late"});
+  EXPECT_FALSE(take<answer_caller>());
+}
+
+// Guards against a request between two attempts that gets no answer when the node ends.
+TEST_F(request_router_test, refuses_requests_between_attempts_as_not_run_when_the_node_ends) {
+  receive(request_of("c"));
+  const auto sent = take<send_peer_request>();
+  ASSERT_TRUE(sent);
+  reply(sent->call, {.reason = refusal_reason::overloaded, .executed = execution::not_run});
+  router_.refuse_in_progress(view_);
+  const auto answer = take<answer_caller>();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->answer.reason, refusal_reason::shutting_down);
+  EXPECT_EQ(answer->answer.executed, execution::not_run);
+  EXPECT_EQ(router_.in_progress(), 0U);
+}
+
+// Guards against "not run" at the node's end of a request whose earlier attempt may have run.
+TEST_F(request_router_test, reports_requests_that_maybe_ran_as_unknown_when_the_node_ends) {
+  receive(request_of("c"));
+  const auto sent = take<send_peer_request>();
+  ASSERT_TRUE(sent);
+  router_.on_peer_replied(sent->call, tl::unexpected(peer_failure::unknown), start, view_);
+  ASSERT_EQ(router_.in_progress(), 1U);
+  router_.refuse_in_progress(view_);
+  const auto answer = take<answer_caller>();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->answer.reason, refusal_reason::backend_failed);
+  EXPECT_EQ(answer->answer.executed, execution::unknown);
+}
+
+// Guards against "not run" at the node's end of a repeat whose first call may have run elsewhere.
+TEST_F(request_router_test, reports_repeats_as_unknown_when_the_node_ends) {
+  auto request = request_of("c");
+  request.repeated = true;
+  receive(request);
+  const auto sent = take<send_peer_request>();
+  ASSERT_TRUE(sent);
+  reply(sent->call, {.reason = refusal_reason::overloaded, .executed = execution::not_run});
+  router_.refuse_in_progress(view_);
+  const auto answer = take<answer_caller>();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->answer.executed, execution::unknown);
+}
+
 }  // namespace
 }  // namespace coltsfoot
--- a/tests/node/whole_path_test.cc
+++ b/tests/node/whole_path_test.cc
@@ -2,6 +2,9 @@
 // one.
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
 #include "tests/node/virtual_cluster.h"
 
 namespace coltsfoot::testing {
@@ -72,6 +75,39 @@
   }
 }
 
+// Guards against a node that ends at its shutdown limit without an answer to each of its callers.
+TEST(whole_path_test, callers_are_answered_when_the_shutdown_limit_is_over) {
+  virtual_cluster cluster{{.seed = 4}};
+  cluster.run_for(duration{6'000});
+  ASSERT_TRUE(cluster.publish(1, plan_limit));
+  cluster.run_for(duration{6'000});
+  std::map<call_id, std::string> calls;
+  for (int r = 0; r < 20; ++r) {
+    const auto id = "r" + std::to_string(r);
+    calls.emplace(cluster.call_service(0, {.id = request_id{id},
+                                           .customer = customer_id{"c0"},
+                                           .service = service_id{"s"},
+                                           .time_left = duration{60'000}}),
+                  id);
+  }
+  // Neither a backend server nor another node replies any more.
+  cluster.options.longest_backend_call = duration{1'000'000'000};
+  cluster.run_for(duration{10});
+  cluster.cut_off({0});
+  cluster.shut_down(0);
+  cluster.run_for(duration{29'000});
+  ASSERT_TRUE(cluster.alive(0));
+  ASSERT_LT(cluster.answers().size(), calls.size());
+  ASSERT_TRUE(cluster.run_until([&] { return cluster.has_stopped(0); }, duration{2'000}));
+  for (const auto& [call, id] : calls) {
+    const auto found = cluster.answers().find(call);
+    ASSERT_NE(found, cluster.answers().end()) << id;
+    const auto& answer = found->second.answer;
+    const bool says_not_run = !answer.answered && answer.executed == execution::not_run;
+    EXPECT_FALSE(says_not_run && cluster.backend_runs().contains(id)) << id;
+  }
+}
+
 // Guards against tasks that vanish or run twice when the node that owns them dies.
 TEST(whole_path_test, tasks_survive_the_death_of_a_node) {
   virtual_cluster cluster{{.seed = 3}};
