Say unknown of a repeat that a draining HTTP server refuses

A caller that sent an id again (coltsfoot-repeated: true) to a node that was draining was told not_run, although its first call may have run elsewhere.

Cause (by reading): the server refused while draining before it read the headers of the request, always as not run. The router keeps the rule of docs/operators.md that the refusal of a repeat says unknown, but the server refuses before the router sees the request. Ruled out: the refusals of the router itself, which have tests.

Change: a draining server parses the request first and refuses a repeat as unknown. A malformed request now gets 400 while draining as well.

Test: drain_never_says_not_run_of_a_repeat failed before (not_run) and passes now, with the other cases of http_server_test.

--- a/coltsfoot/transport/http_server.cc
+++ b/coltsfoot/transport/http_server.cc
@@ -91,6 +91,16 @@
   return response;
 }
 
+// `repeated`: the id was sent before, and what became of the earlier calls is not known here.
+rest_response shutting_down_response(bool repeated, duration retry_after) {
+  auto response = refusal_response({.reason = refusal_reason::shutting_down,
+                                    .executed = repeated ? execution::unknown : execution::not_run,
+                                    .retry_after = retry_after,
+                                    .detail = "the node is shutting down"});
+  response.close = true;
+  return response;
+}
+
 rest_response answer_response(const service_answer& answer) {
   if (!answer.answered) return refusal_response(answer);
   rest_response response{.status = answer.status, .body = answer.body};
@@ -326,17 +336,12 @@
   }
 
   void serve_caller(rest_request request, const rest_responder& respond) {
+    auto parsed = parse_service_request(std::move(request), options_);
+    if (!parsed) return reject(respond, bad_request(400, parsed.error()));
     if (draining_) {
       count(&http_server_stats::refused_draining);
-      auto response = refusal_response({.reason = refusal_reason::shutting_down,
-                                        .executed = execution::not_run,
-                                        .retry_after = options_.retry_after,
-                                        .detail = "the node is shutting down"});
-      response.close = true;
-      return respond(std::move(response));
+      return respond(shutting_down_response(parsed->repeated, options_.retry_after));
     }
-    auto parsed = parse_service_request(std::move(request), options_);
-    if (!parsed) return reject(respond, bad_request(400, parsed.error()));
     ++*in_progress_;
     std::shared_ptr<void> guard{nullptr, [counter = in_progress_](void*) { --*counter; }};
     const auto call = add({.respond = respond, .in_progress = std::move(guard)});
--- a/coltsfoot/transport/http_server_test.cc
+++ b/coltsfoot/transport/http_server_test.cc
@@ -206,6 +206,16 @@
   EXPECT_TRUE(wait_until([this] { return server_.in_progress() == 0; }));
 }
 
+// Guards against "not run" being said of a repeat whose first call may have run elsewhere.
+TEST_F(http_server_test, drain_never_says_not_run_of_a_repeat) {
+  server_.begin_drain();
+  const auto answer =
+      fetch(client_, caller_request({{.name = "coltsfoot-repeated", .value = "true"}}));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_EQ(header_of(*answer, "coltsfoot-execution"), "unknown");
+}
+
 // Guards against connections beyond the bound, and against closed ones that keep counting.
 TEST(http_server_bounds_test, connections_beyond_the_bound_are_closed) {
   http_server server{{.max_connections = 1}, {}};
