Answer the requests that reach coltsfootd after its last event

A caller whose request reached a node in its last moments could find the connection closed without an answer, up to 2 s later.

Cause (by reading): requests that were still in the mailbox when the control thread ended were never answered; the daemon waited for them in wait_until_idle and then stopped the server. begin_drain did not help those that had passed the check of the flag and were registered after it.

Ruled out: that the core has seen such a request and may have dispatched it, since it has answered all that it saw before stop_process.

Change: http_server::refuse_open_calls sets the flag and takes the open calls under the mutex under which calls are registered, refuses them as not run (repeats as unknown), and counts them in progress until they are written. The daemon calls it once the control thread has ended. Calls of operators are kept apart and stay as they were.

Tests: with begin_drain alone in place of the refusal, the three new cases of http_server_test fail (no answer within the bound). They pass now, 20 times in a row with the other cases.

--- a/coltsfoot/daemon/daemon.cc
+++ b/coltsfoot/daemon/daemon.cc
@@ -264,7 +264,8 @@
     events.push(shutdown_requested{});
   }
   control.join();
-  http.begin_drain();
+  // What the core has not answered is still in the mailbox, so it has certainly not run.
+  http.refuse_open_calls();
   peer_requests.begin_drain();
   wait_until_idle(http);
   wait_until_idle(peer_requests);
--- a/coltsfoot/transport/http_server.cc
+++ b/coltsfoot/transport/http_server.cc
@@ -219,9 +219,10 @@
   return std::nullopt;
 }
 
-struct pending_call {
+struct caller_call {
   rest_responder respond;
-  std::shared_ptr<void> in_progress;  // callers only
+  bool repeated = false;
+  std::shared_ptr<void> in_progress;
 };
 
 enum class served_api { callers, operators, both };
@@ -247,14 +248,15 @@
     if (callers_) callers_->stop();
     if (operators_) operators_->stop();
     const std::scoped_lock lock{mutex_};
-    calls_.clear();
+    caller_calls_.clear();
+    operator_calls_.clear();
   }
 
   std::uint16_t caller_port() const { return callers_ ? callers_->port() : 0; }
   std::uint16_t operator_port() const { return operators_ ? operators_->port() : caller_port(); }
 
   void answer_caller(call_id call, const service_answer& answer) {
-    auto pending = take(call);
+    auto pending = take(caller_calls_, call);
     if (!pending) return;
     auto response = answer_response(answer);
     response.close = draining_;
@@ -263,14 +265,34 @@
   }
 
   void answer_operator(call_id call, const operator_reply& reply) {
-    const auto pending = take(call);
-    if (!pending) return;
+    const auto respond = take(operator_calls_, call);
+    if (!respond) return;
     const int status = std::holds_alternative<operator_error>(reply) ? 503 : 200;
-    pending->respond(json_response(status, reply));
+    (*respond)(json_response(status, reply));
   }
 
   void set_ready(bool ready) { ready_ = ready; }
-  void begin_drain() { draining_ = true; }
+
+  void begin_drain() {
+    const std::scoped_lock lock{mutex_};
+    draining_ = true;
+  }
+
+  void refuse_open_calls() {
+    std::unordered_map<call_id, caller_call> open;
+    {
+      const std::scoped_lock lock{mutex_};
+      draining_ = true;
+      open.swap(caller_calls_);
+    }
+    for (auto& [id, call] : open) {
+      count(&http_server_stats::refused_draining);
+      auto response = shutting_down_response(call.repeated, options_.retry_after);
+      response.until_written = std::move(call.in_progress);
+      call.respond(std::move(response));
+    }
+  }
+
   std::size_t in_progress() const { return *in_progress_; }
 
   // Only after `start`, which makes the listeners.
@@ -338,15 +360,13 @@
   void serve_caller(rest_request request, const rest_responder& respond) {
     auto parsed = parse_service_request(std::move(request), options_);
     if (!parsed) return reject(respond, bad_request(400, parsed.error()));
-    if (draining_) {
+    const auto call = add_caller_call(respond, parsed->repeated);
+    if (!call) {
       count(&http_server_stats::refused_draining);
       return respond(shutting_down_response(parsed->repeated, options_.retry_after));
     }
-    ++*in_progress_;
-    std::shared_ptr<void> guard{nullptr, [counter = in_progress_](void*) { --*counter; }};
-    const auto call = add({.respond = respond, .in_progress = std::move(guard)});
     count(&http_server_stats::caller_requests);
-    handlers_.on_caller(call, std::move(*parsed));
+    handlers_.on_caller(*call, std::move(*parsed));
   }
 
   void serve_operator(const rest_request& request, const rest_responder& respond) {
@@ -363,7 +383,7 @@
     } catch (const nlohmann::json::exception& error) {
       return reject(respond, bad_request(400, error.what()));
     }
-    const auto call = add({.respond = respond});
+    const auto call = add_operator_call(respond);
     count(&http_server_stats::operator_requests);
     handlers_.on_operator(call, std::move(*parsed));
   }
@@ -378,18 +398,31 @@
     respond(std::move(response));
   }
 
-  call_id add(pending_call pending) {
+  // Returns nothing if the server drains.
+  std::optional<call_id> add_caller_call(const rest_responder& respond, bool repeated) {
+    const std::scoped_lock lock{mutex_};
+    if (draining_) return std::nullopt;
+    ++*in_progress_;
+    std::shared_ptr<void> guard{nullptr, [counter = in_progress_](void*) { --*counter; }};
+    caller_calls_.emplace(
+        ++last_call_,
+        caller_call{.respond = respond, .repeated = repeated, .in_progress = std::move(guard)});
+    return last_call_;
+  }
+
+  call_id add_operator_call(const rest_responder& respond) {
     const std::scoped_lock lock{mutex_};
-    calls_.emplace(++last_call_, std::move(pending));
+    operator_calls_.emplace(++last_call_, respond);
     return last_call_;
   }
 
-  std::optional<pending_call> take(call_id call) {
+  template <typename Pending>
+  std::optional<Pending> take(std::unordered_map<call_id, Pending>& calls, call_id call) {
     const std::scoped_lock lock{mutex_};
-    const auto found = calls_.find(call);
-    if (found == calls_.end()) return std::nullopt;
+    const auto found = calls.find(call);
+    if (found == calls.end()) return std::nullopt;
     auto pending = std::move(found->second);
-    calls_.erase(found);
+    calls.erase(found);
     return pending;
   }
 
@@ -402,7 +435,7 @@
   http_server_handlers handlers_;
   log_sink log_;
   std::atomic<bool> ready_{false};
-  std::atomic<bool> draining_{false};
+  std::atomic<bool> draining_{false};  // set under `mutex_`: no caller's call is added after it
   // Shared with answers that are being written.
   std::shared_ptr<std::atomic<std::size_t>> in_progress_ =
       std::make_shared<std::atomic<std::size_t>>(0);
@@ -410,7 +443,8 @@
   std::unique_ptr<rest_listener> callers_;
   std::unique_ptr<rest_listener> operators_;
   mutable std::mutex mutex_;
-  std::unordered_map<call_id, pending_call> calls_;
+  std::unordered_map<call_id, caller_call> caller_calls_;
+  std::unordered_map<call_id, rest_responder> operator_calls_;
   call_id last_call_ = 0;
   http_server_stats stats_;
 };
@@ -444,6 +478,9 @@
 void http_server::begin_drain() {
   impl_->begin_drain();
 }
+void http_server::refuse_open_calls() {
+  impl_->refuse_open_calls();
+}
 std::size_t http_server::in_progress() const {
   return impl_->in_progress();
 }
--- a/coltsfoot/transport/http_server.h
+++ b/coltsfoot/transport/http_server.h
@@ -91,7 +91,11 @@
   // answer. The operator API and the health addresses stay in service.
   void begin_drain();
 
-  // Caller requests that were passed to the handler and are not answered yet.
+  // Drains, and refuses the caller requests that are not answered yet. For a handler that has ended
+  // after it answered all requests that it may have dispatched: the others are refused as not run.
+  void refuse_open_calls();
+
+  // Caller requests that were passed to the handler and whose answers are not written yet.
   std::size_t in_progress() const;
 
   http_server_stats stats() const;
--- a/coltsfoot/transport/http_server_test.cc
+++ b/coltsfoot/transport/http_server_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <mutex>
+#include <vector>
 
 #include "coltsfoot/transport/http_client.h"
 #include "coltsfoot/transport/internal/test_support.h"
@@ -216,6 +218,65 @@
   EXPECT_EQ(header_of(*answer, "coltsfoot-execution"), "unknown");
 }
 
+// Guards against open requests whose connections a stop closes without an answer.
+TEST_F(http_server_test, open_requests_are_refused_as_not_run) {
+  result_box<http_result> result;
+  client_.send(caller_request(), result.callback());
+  const auto call = request_.get().first;
+  server_.refuse_open_calls();
+  ASSERT_TRUE(wait_until([this] { return server_.in_progress() == 0; }));
+  server_.answer_caller(call, {.answered = true, .status = 200, .body = "late"});
+  server_.stop();
+  const auto answer = result.get();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_EQ(nlohmann::json::parse(answer->body)["reason"], "shutting_down");
+  EXPECT_EQ(header_of(*answer, "coltsfoot-execution"), "not_run");
+  EXPECT_EQ(header_of(*answer, "Connection"), "close");
+}
+
+// Guards against "not run" being said of an open repeat whose first call may have run elsewhere.
+TEST_F(http_server_test, open_repeats_are_refused_as_unknown) {
+  result_box<http_result> result;
+  client_.send(caller_request({{.name = "coltsfoot-repeated", .value = "true"}}),
+               result.callback());
+  request_.get();
+  server_.refuse_open_calls();
+  const auto answer = result.get();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_EQ(header_of(*answer, "coltsfoot-execution"), "unknown");
+}
+
+// Guards against requests that arrive while the open ones are refused and stay without an answer.
+TEST(http_server_refusal_test, requests_that_arrive_during_the_refusal_are_answered) {
+  constexpr int rounds = 50;
+  constexpr int calls_per_round = 32;
+  for (int round = 0; round < rounds; ++round) {
+    std::atomic<int> received = 0;
+    http_server server{{}, {.on_caller = [&](call_id, const service_request&) { ++received; }}};
+    ASSERT_TRUE(server.start());
+    http_client client;
+    std::vector<result_box<http_result>> results(calls_per_round);
+    for (auto& result : results) {
+      client.send({.url = "http://127.0.0.1:" + std::to_string(server.caller_port()) +
+                          "/v1/services/pricing/",
+                   .headers = {{.name = "coltsfoot-customer", .value = "acme"},
+                               {.name = "coltsfoot-request-id", .value = "r-1"}}},
+                  result.callback());
+    }
+    ASSERT_TRUE(wait_until([&] { return received > round % calls_per_round; }));
+    server.refuse_open_calls();
+    for (auto& result : results) {
+      const auto answer = result.get();
+      ASSERT_TRUE(answer) << "round " << round;
+      EXPECT_EQ(answer->status, 503);
+      EXPECT_EQ(header_of(*answer, "coltsfoot-execution"), "not_run");
+    }
+    EXPECT_TRUE(wait_until([&] { return server.in_progress() == 0; }));
+  }
+}
+
 // Guards against connections beyond the bound, and against closed ones that keep counting.
 TEST(http_server_bounds_test, connections_beyond_the_bound_are_closed) {
   http_server server{{.max_connections = 1}, {}};
