Count the bytes of each kind of call and how late threads run

Change: the HTTP client counts calls, failures, connections and bytes by kind; load_monitor makes one log line a second (node_load) and metrics of it, with the lateness of the control thread and of the clients' threads.

--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -10,6 +10,7 @@
 
 #include "coltsfoot/daemon/caller_gateway.h"
 #include "coltsfoot/daemon/fleet_metrics.h"
+#include "coltsfoot/daemon/load_monitor.h"
 #include "coltsfoot/daemon/mailbox.h"
 #include "coltsfoot/daemon/shared_text.h"
 #include "coltsfoot/jobs/job_node.h"
@@ -128,7 +129,8 @@
 };
 
 void run_control_thread(jobs::job_node& node, node_mailbox& events, fleet_executor& executor,
-                        shared_text& metrics) {
+                        const std::vector<http_client*>& clients, shared_text& metrics) {
+  load_monitor load;
   auto next_tick = boot_time_now();
   auto next_metrics = next_tick;
   while (!executor.ended()) {
@@ -137,6 +139,7 @@
     auto arrived = events.pop_all_until(std::chrono::steady_clock::now() + wait);
     const auto handled_at = boot_time_now();
     if (handled_at >= next_tick) {
+      load.note_tick(next_tick, handled_at);
       next_tick = handled_at + tick_interval;
       arrived.emplace_back(jobs::time_passed{});
     }
@@ -144,9 +147,10 @@
     for (auto& c : node.handle_all(std::move(arrived), handled_at, wall_time_now())) {
       executor.execute(std::move(c));
     }
+    if (const auto line = load.sample(clients, handled_at)) log_line(severity::info, *line);
     if (now >= next_metrics) {
       next_metrics = now + metrics_interval;
-      metrics.set(fleet_metrics_page(node));
+      metrics.set(fleet_metrics_page(node, load));
     }
   }
 }
@@ -278,7 +282,7 @@
   }
   jobs::job_node node{options, boot_time_now(), sink};
   std::thread control{[&] {
-    run_control_thread(node, events, executor, metrics);
+    run_control_thread(node, events, executor, {&store_http, &worker_http}, metrics);
     kill(getpid(), SIGUSR1);
   }};
   handle_signals(signals, events, settings_path);
--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -52,7 +52,7 @@
 
 }  // namespace
 
-std::string fleet_metrics_page(const jobs::job_node& node) {
+std::string fleet_metrics_page(const jobs::job_node& node, const load_monitor& load) {
   exposition page;
   const auto& stats = node.stats();
   page.add_gauge("owned_shards", static_cast<double>(node.owned_shards()));
@@ -70,6 +70,7 @@
   page.add_counter("claims_total", stats.claims);
   page.add_counter("takeovers_total", stats.takeovers);
   page.add_counter("step_downs_total", stats.step_downs);
+  load.add_metrics(page);
   if (node.owned_shards() > 0) add_owner_metrics(page, sum_owned_shards(node));
   return page.text();
 }
--- a/coltsfoot/daemon/fleet_metrics.h
+++ b/coltsfoot/daemon/fleet_metrics.h
@@ -3,10 +3,11 @@
 
 #include <string>
 
+#include "coltsfoot/daemon/load_monitor.h"
 #include "coltsfoot/jobs/job_node.h"
 
 namespace coltsfoot {
 
-std::string fleet_metrics_page(const jobs::job_node& node);
+std::string fleet_metrics_page(const jobs::job_node& node, const load_monitor& load);
 
 }  // namespace coltsfoot
--- a/coltsfoot/transport/http_client.cc
+++ b/coltsfoot/transport/http_client.cc
@@ -29,6 +29,7 @@
   http_request request;
   http_client::callback done;
   http_client_options limits;
+  std::chrono::steady_clock::time_point queued_at;
   std::chrono::steady_clock::time_point deadline;
   std::string host;  // and port
   easy_handle handle;
@@ -168,6 +169,32 @@
           .detail = std::move(detail)};
 }
 
+std::uint64_t number_of(CURL* handle, CURLINFO info) {
+  curl_off_t value = 0;
+  curl_easy_getinfo(handle, info, &value);
+  return static_cast<std::uint64_t>(value);
+}
+
+std::uint64_t long_of(CURL* handle, CURLINFO info) {
+  long value = 0;
+  curl_easy_getinfo(handle, info, &value);
+  return static_cast<std::uint64_t>(value);
+}
+
+http_traffic traffic_of(const transfer& t, CURLcode code) {
+  CURL* handle = t.handle.get();
+  const auto body_bytes = number_of(handle, CURLINFO_SIZE_UPLOAD_T);
+  // Includes the body if that was sent together with the head.
+  const auto request_bytes = long_of(handle, CURLINFO_REQUEST_SIZE);
+  const auto head_bytes = request_bytes >= body_bytes ? request_bytes - body_bytes : request_bytes;
+  return {.calls = 1,
+          .failures = code == CURLE_OK ? 0U : 1U,
+          .connections = long_of(handle, CURLINFO_NUM_CONNECTS),
+          .sent_bytes = head_bytes + body_bytes,
+          .received_bytes =
+              long_of(handle, CURLINFO_HEADER_SIZE) + number_of(handle, CURLINFO_SIZE_DOWNLOAD_T)};
+}
+
 http_result result_of(transfer& t, CURLcode code) {
   if (code != CURLE_OK) return tl::unexpected(failure(t, curl_easy_strerror(code)));
   long status = 0;
@@ -198,7 +225,8 @@
     t->request = std::move(request);
     t->done = std::move(done);
     t->limits = options_;
-    t->deadline = std::chrono::steady_clock::now() + t->request.timeout;
+    t->queued_at = std::chrono::steady_clock::now();
+    t->deadline = t->queued_at + t->request.timeout;
     std::unique_lock lock{mutex_};
     if (stopping_) {
       lock.unlock();
@@ -211,6 +239,13 @@
     if (was_empty) loop_.wake();
   }
 
+  http_traffic_by_kind traffic() const {
+    const std::scoped_lock lock{traffic_mutex_};
+    return traffic_;
+  }
+
+  duration take_longest_delay() { return duration{longest_delay_ms_.exchange(0)}; }
+
   void stop() {
     {
       const std::scoped_lock lock{mutex_};
@@ -242,7 +277,20 @@
     }
   }
 
+  void note_delay(const transfer& t) {
+    const auto delay = std::chrono::steady_clock::now() - t.queued_at;
+    const auto ms = std::chrono::duration_cast<duration>(delay).count();
+    if (ms > longest_delay_ms_) longest_delay_ms_ = ms;
+  }
+
+  void count(const transfer& t, CURLcode code) {
+    const auto traffic = traffic_of(t, code);
+    const std::scoped_lock lock{traffic_mutex_};
+    traffic_[t.request.kind] += traffic;
+  }
+
   void admit(std::unique_ptr<transfer> t) {
+    note_delay(*t);
     if (const auto fault = fault_of(t->request); !fault.empty()) {
       return t->done(tl::unexpected(failure(*t, fault)));
     }
@@ -267,6 +315,7 @@
       auto t = std::move(open_.at(handle));
       open_.erase(handle);
       loop_.remove(handle);
+      count(*t, code);
       auto result = result_of(*t, code);
       keep_for_reuse(std::move(t->handle));
       if (auto next = queues_.release(t->host)) begin(std::move(next));
@@ -305,6 +354,9 @@
   std::mutex mutex_;
   std::vector<std::unique_ptr<transfer>> queued_;
   bool stopping_ = false;
+  mutable std::mutex traffic_mutex_;
+  http_traffic_by_kind traffic_;
+  std::atomic<duration::rep> longest_delay_ms_ = 0;
   // Used by the thread only.
   std::unordered_map<CURL*, std::unique_ptr<transfer>> open_;
   std::vector<easy_handle> unused_;
@@ -317,10 +369,33 @@
 void http_client::send(http_request request, callback done) {
   impl_->send(std::move(request), std::move(done));
 }
+http_traffic_by_kind http_client::traffic() const {
+  return impl_->traffic();
+}
+duration http_client::take_longest_delay() {
+  return impl_->take_longest_delay();
+}
 void http_client::stop() {
   impl_->stop();
 }
 
+http_traffic& http_traffic::operator+=(const http_traffic& other) {
+  calls += other.calls;
+  failures += other.failures;
+  connections += other.connections;
+  sent_bytes += other.sent_bytes;
+  received_bytes += other.received_bytes;
+  return *this;
+}
+
+http_traffic operator-(const http_traffic& a, const http_traffic& b) {
+  return {.calls = a.calls - b.calls,
+          .failures = a.failures - b.failures,
+          .connections = a.connections - b.connections,
+          .sent_bytes = a.sent_bytes - b.sent_bytes,
+          .received_bytes = a.received_bytes - b.received_bytes};
+}
+
 std::string url_encode(std::string_view text) {
   static constexpr std::string_view digits = "0123456789ABCDEF";
   std::string out;
--- a/coltsfoot/transport/http_client.h
+++ b/coltsfoot/transport/http_client.h
@@ -8,8 +8,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 #include <vector>
 
@@ -33,9 +35,24 @@
   std::string url;  // http only
   std::vector<http_header> headers;
   std::string body;
-  duration timeout{10'000};  // connecting and waiting for a connection included
+  duration timeout{10'000};         // connecting and waiting for a connection included
+  std::string_view kind = "other";  // under which its traffic is counted; a string literal
 };
 
+// Traffic of the requests of one kind that have ended, headers included.
+struct http_traffic {
+  std::uint64_t calls = 0;
+  std::uint64_t failures = 0;  // without a complete answer
+  std::uint64_t connections = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_bytes = 0;
+
+  http_traffic& operator+=(const http_traffic& other);
+  friend http_traffic operator-(const http_traffic& a, const http_traffic& b);
+  friend bool operator==(const http_traffic&, const http_traffic&) = default;
+};
+using http_traffic_by_kind = std::map<std::string_view, http_traffic>;
+
 // A complete answer: the body has the announced length, or its last chunk was received.
 struct http_response {
   std::int32_t status = 0;
@@ -74,6 +91,11 @@
 
   void send(http_request request, callback done);
 
+  // Traffic since the start. May be called from any thread.
+  http_traffic_by_kind traffic() const;
+  // Returns the longest time that a request has waited for the client's thread since the last call.
+  duration take_longest_delay();
+
   // Ends all requests that are open and joins the thread. The destructor does the same.
   void stop();
 
