Give an owner no more workers than its link carries

Cause: the number of shards followed the processor alone.

Change: the owner that decides the layout counts a busy worker as 2.6 KB/s (two starts a second with their specifications, looks and progress) and lets that fill a quarter of its link. Settings have a key link_mbps.

Ruled out: the processor (no thread later than 70 ms) and the journals (45 to 105 KB/s are read, in the other direction).

--- a/coltsfoot/config/fleet_settings.cc
+++ b/coltsfoot/config/fleet_settings.cc
@@ -46,6 +46,9 @@
 constexpr std::string_view processor_key = "processor_cores";
 constexpr double most_cores = 1'024;
 
+constexpr std::string_view link_key = "link_mbps";
+constexpr double most_link_mbps = 1'000'000;
+
 bool is_address(std::string_view text) {
   const auto colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) return false;
@@ -111,6 +114,19 @@
   return std::nullopt;
 }
 
+std::optional<config_error> read_link(const YAML::Node& root, const std::string& file,
+                                      fleet_settings& out) {
+  const auto node = root[std::string{link_key}];
+  if (!node) return std::nullopt;
+  constexpr double bytes_per_megabit = 125'000;
+  double mbps = 0;
+  if (!YAML::convert<double>::decode(node, mbps) || !(mbps > 0) || mbps > most_link_mbps) {
+    return error_at(node, file, link_key, "is no number of megabits above 0 (at most 1000000)");
+  }
+  out.link_bytes_per_s = mbps * bytes_per_megabit;
+  return std::nullopt;
+}
+
 }  // namespace
 
 tl::expected<fleet_settings, config_error> parse_fleet_settings(std::string_view text,
@@ -123,6 +139,7 @@
   for (const auto& key : duration_keys) names.push_back(key.name);
   for (const auto& key : number_keys) names.push_back(key.name);
   names.push_back(processor_key);
+  names.push_back(link_key);
   if (auto error = check_map(*root, file, names)) return tl::unexpected(std::move(*error));
   fleet_settings out;
   for (const auto& key : text_keys) {
@@ -137,6 +154,7 @@
     if (auto error = read_number(*root, file, key, out)) return tl::unexpected(std::move(*error));
   }
   if (auto error = read_processor(*root, file, out)) return tl::unexpected(std::move(*error));
+  if (auto error = read_link(*root, file, out)) return tl::unexpected(std::move(*error));
   return out;
 }
 
--- a/coltsfoot/config/fleet_settings.h
+++ b/coltsfoot/config/fleet_settings.h
@@ -22,6 +22,7 @@
   std::string metrics_address;             // "ip:port" of /metrics
   std::string store_address;               // "ip:port" of the metadata store
   std::uint32_t processor_millicores = 0;  // of this node, in thousandths of a core; 0: unknown
+  double link_bytes_per_s = 0;             // of this node's link; 0: unknown
   std::uint32_t journal_partitions = 1;    // of the store, the most shards there can be
   duration longest_lease{10'000};          // that a worker grants
   duration shutdown_grace{6'000};          // from the stop signal to the kill
--- a/coltsfoot/config/fleet_settings_test.cc
+++ b/coltsfoot/config/fleet_settings_test.cc
@@ -29,13 +29,15 @@
 }
 
 TEST(fleet_settings_test, reads_what_a_node_has_for_owning_jobs) {
-  const auto settings =
-      parse_fleet_settings(complete + "processor_cores: 0.12\njournal_partitions: 8\n", "f.yaml");
+  const auto settings = parse_fleet_settings(
+      complete + "processor_cores: 0.12\njournal_partitions: 8\nlink_mbps: 20\n", "f.yaml");
   ASSERT_TRUE(settings);
   EXPECT_EQ(settings->processor_millicores, 120U);
   EXPECT_EQ(settings->journal_partitions, 8U);
-  for (const auto* wrong : {"processor_cores: 0\n", "processor_cores: fast\n",
-                            "journal_partitions: 0\n", "journal_partitions: 1.5\n"}) {
+  EXPECT_EQ(settings->link_bytes_per_s, 2'500'000);
+  for (const auto* wrong :
+       {"processor_cores: 0\n", "processor_cores: fast\n", "journal_partitions: 0\n",
+        "journal_partitions: 1.5\n", "link_mbps: 0\n", "link_mbps: wide\n"}) {
     EXPECT_FALSE(parse_fleet_settings(complete + wrong, "f.yaml")) << wrong;
   }
 }
--- a/coltsfoot/jobs/fleet_layout.cc
+++ b/coltsfoot/jobs/fleet_layout.cc
@@ -8,6 +8,14 @@
 namespace coltsfoot::jobs {
 namespace {
 
+// What an owner sends for a worker that is kept busy with short tasks: about two starts a second
+// with their specifications, looks, and the progress in the journal.
+constexpr double bytes_per_worker_and_s = 2'600;
+
+// Share of the link that an owner's orders may fill on average. The rest is for bursts, for callers
+// and for the journals.
+constexpr double order_share_of_link = 0.25;
+
 bool by_name(const rack_shard& a, const rack_shard& b) {
   return a.rack < b.rack;
 }
@@ -19,7 +27,8 @@
 }
 
 std::uint32_t shards_for(std::size_t workers, const layout_options& options) {
-  const auto needed = (workers + options.workers_per_shard - 1) / options.workers_per_shard;
+  const auto per_shard = most_workers_per_shard(options);
+  const auto needed = (workers + per_shard - 1) / per_shard;
   return static_cast<std::uint32_t>(
       std::clamp<std::size_t>(needed, 1, std::max<std::uint32_t>(options.most_shards, 1)));
 }
@@ -36,6 +45,13 @@
 
 }  // namespace
 
+std::size_t most_workers_per_shard(const layout_options& options) {
+  if (options.link_bytes_per_s <= 0) return options.workers_per_shard;
+  const auto by_link = static_cast<std::size_t>(options.link_bytes_per_s * order_share_of_link /
+                                                bytes_per_worker_and_s);
+  return std::clamp<std::size_t>(by_link, 1, options.workers_per_shard);
+}
+
 std::optional<shard_number> fleet_layout::shard_of_rack(std::string_view rack) const {
   const auto found =
       std::lower_bound(racks.begin(), racks.end(), rack,
--- a/coltsfoot/jobs/fleet_layout.h
+++ b/coltsfoot/jobs/fleet_layout.h
@@ -2,7 +2,8 @@
 // jobs, and has one owner. The number of shards is fixed when the first layout is recorded; racks
 // that come later are dealt to the shards there are, and no rack ever moves.
 //
-// Load it answers: more starts a second than the processor of one node can decide and order.
+// Load it answers: more starts a second than the processor or the link of one node can decide and
+// order.
 //
 //   const auto next = extended(layout, racks, {.workers_per_shard = 128});
 //   if (next != layout) record(next);
@@ -45,10 +46,14 @@
 COLTSFOOT_CODEC(fleet_layout, shards, racks)
 
 struct layout_options {
-  std::size_t workers_per_shard = 128;  // that one owner can serve
+  std::size_t workers_per_shard = 128;  // that the processor of one owner can serve
   std::uint32_t most_shards = 8;        // partitions of the journal
+  double link_bytes_per_s = 0;          // that a node's link carries; 0: unknown, no bound
 };
 
+// Returns how many workers one owner can serve with its processor and its link.
+std::size_t most_workers_per_shard(const layout_options& options);
+
 // Number of listed workers in each rack.
 using rack_sizes = std::map<std::string, std::size_t>;
 
--- a/coltsfoot/jobs/fleet_layout_test.cc
+++ b/coltsfoot/jobs/fleet_layout_test.cc
@@ -44,6 +44,19 @@
   EXPECT_EQ(extended({}, racks_of(1'250, 12), options).shards, 8U);
 }
 
+// The starts of 128 busy workers alone would be twice what a link of 2 Mbit/s carries.
+TEST(fleet_layout_test, nodes_with_narrow_links_own_smaller_shards) {
+  auto narrow = options;
+  narrow.link_bytes_per_s = 250'000;
+  EXPECT_LE(most_workers_per_shard(narrow), 30U);
+  EXPECT_EQ(extended({}, racks_of(12, 12), narrow).shards, 6U);
+  auto wide = options;
+  wide.link_bytes_per_s = 25'000'000;
+  EXPECT_EQ(most_workers_per_shard(wide), options.workers_per_shard);
+  EXPECT_EQ(extended({}, racks_of(12, 12), wide).shards,
+            extended({}, racks_of(12, 12), options).shards);
+}
+
 TEST(fleet_layout_test, a_new_rack_goes_to_the_smallest_shard_and_no_other_moves) {
   auto racks = racks_of(41, 12);
   const auto before = extended({}, racks, options);
