Let an owner whose link is full start less and take late answers

Cause: calls that were answered after 400 ms (looks 1.5 s) were given up with their connection and repeated.

Change: starts under way are bounded by a window that halves while answers are late (start_window). Repetitions follow the measured answer time, with growing gaps and a budget. Calls keep their connection until 1.5 s, looks 2.5 s beyond their wait, and a late answer counts; an older report than the newest changes nothing. Lateness of the node's own threads is added to the time that a worker has. Workers are looked at less often while answers are late.

--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -141,7 +141,7 @@
     if (handled_at >= next_tick) {
       load.note_tick(next_tick, handled_at);
       next_tick = handled_at + tick_interval;
-      arrived.emplace_back(jobs::time_passed{});
+      arrived.emplace_back(jobs::time_passed{.own_delay = load.own_delay()});
     }
     if (arrived.empty()) continue;
     for (auto& c : node.handle_all(std::move(arrived), handled_at, wall_time_now())) {
--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -1,5 +1,6 @@
 #include "coltsfoot/daemon/fleet_metrics.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "coltsfoot/observe/exposition.h"
@@ -14,6 +15,10 @@
   jobs::job_owner_stats stats;
   std::size_t waiting_jobs = 0;
   std::size_t workers = 0;
+  std::size_t start_window = 0;
+  std::size_t starts_under_way = 0;
+  std::size_t unsent_starts = 0;
+  duration answer_time{0};  // the longest of the shards
 };
 
 owned_shard_totals sum_owned_shards(const jobs::job_node& node) {
@@ -24,6 +29,10 @@
     sum.stats += owner->stats();
     sum.waiting_jobs += owner->waiting_jobs();
     sum.workers += owner->links().size();
+    sum.start_window += owner->window().size();
+    sum.starts_under_way += owner->window().under_way();
+    sum.unsent_starts += owner->unsent_starts();
+    sum.answer_time = std::max(sum.answer_time, owner->answers().mean());
   }
   return sum;
 }
@@ -48,6 +57,11 @@
   page.add_histogram("job_completed_seconds", {}, stats.job_age);
   page.add_gauge("waiting_jobs", static_cast<double>(totals.waiting_jobs));
   page.add_gauge("workers", static_cast<double>(totals.workers));
+  page.add_gauge("start_window", static_cast<double>(totals.start_window));
+  page.add_gauge("starts_under_way", static_cast<double>(totals.starts_under_way));
+  page.add_gauge("unsent_starts", static_cast<double>(totals.unsent_starts));
+  page.add_gauge("worker_answer_seconds",
+                 std::chrono::duration<double>(totals.answer_time).count());
 }
 
 }  // namespace
--- a/coltsfoot/daemon/load_monitor.cc
+++ b/coltsfoot/daemon/load_monitor.cc
@@ -43,6 +43,10 @@
   return line;
 }
 
+duration load_monitor::own_delay() const {
+  return std::max({control_late_, sampled_control_late_, sampled_client_late_});
+}
+
 void load_monitor::add_metrics(exposition& page) const {
   const auto add = [&](std::string_view name, std::uint64_t http_traffic::* value) {
     for (const auto& [kind, counts] : traffic_) {
--- a/coltsfoot/daemon/load_monitor_test.cc
+++ b/coltsfoot/daemon/load_monitor_test.cc
@@ -46,7 +46,9 @@
   load_monitor monitor;
   monitor.note_tick(start, start + duration{30});
   monitor.note_tick(start, start + duration{7});
+  EXPECT_EQ(monitor.own_delay(), duration{30});
   const auto line = monitor.sample({&client}, start);
+  EXPECT_EQ(monitor.own_delay(), duration{30}) << "of the second before";
   ASSERT_TRUE(line);
   EXPECT_NE(line->find("control_late_ms=30 "), std::string::npos) << *line;
   exposition page;
--- /dev/null
+++ b/coltsfoot/jobs/answer_time_test.cc
@@ -0,0 +1,25 @@
+#include "coltsfoot/jobs/answer_time.h"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoot::jobs {
+namespace {
+
+TEST(answer_time_test, a_timeout_follows_answers_that_become_slow_and_prompt_again) {
+  answer_time answers{{.shortest_timeout = duration{400}, .longest_timeout = duration{1'500}}};
+  EXPECT_EQ(answers.timeout(), duration{400});
+  for (int i = 0; i < 50; ++i) answers.observe(duration{700});
+  EXPECT_NEAR(static_cast<double>(answers.mean().count()), 700, 10);
+  EXPECT_GT(answers.timeout(), duration{700});
+  for (int i = 0; i < 100; ++i) answers.observe(duration{5});
+  EXPECT_EQ(answers.timeout(), duration{400});
+}
+
+TEST(answer_time_test, a_timeout_stays_within_its_bounds) {
+  answer_time answers{{.shortest_timeout = duration{400}, .longest_timeout = duration{1'500}}};
+  for (int i = 0; i < 50; ++i) answers.observe(duration{60'000});
+  EXPECT_EQ(answers.timeout(), duration{1'500});
+}
+
+}  // namespace
+}  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -51,8 +51,8 @@
   return std::exchange(context_.commands, {});
 }
 
-void job_node::on(const time_passed& /*event*/) {
-  for (auto& shard : shards_) shard->on_tick();
+void job_node::on(const time_passed& event) {
+  for (auto& shard : shards_) shard->on_tick(event.own_delay);
   shut_down_when_due();
 }
 
@@ -64,7 +64,9 @@
 
 void job_node::on(const start_answered& event) {
   if (auto* owner = owner_of(event.origin)) {
-    owner->on_start_answer(event.life, event.run, event.answer, context_.now);
+    auto answer = event.answer;
+    answer.taken = context_.now - event.sent_at;
+    owner->on_start_answer(event.life, event.run, answer, context_.now);
   }
 }
 
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -36,7 +36,10 @@
       table_(table),
       log_(std::move(log)),
       wall_(wall),
-      inherited_until_(now + lease_clock::longest(options.lease)) {
+      inherited_until_(now + lease_clock::longest(options.lease)),
+      window_(options.window),
+      answers_(options.answers),
+      start_retries_(options.start_retries) {
   adopt(now);
 }
 
@@ -66,7 +69,7 @@
       auto placed = run_of_step(j.step_of(j.ref_of(i)), task, now);
       placed.phase = start_phase::sent;
       placed.doubtful = true;
-      placed.next_try = now + options_.order_timeout;
+      placed.next_try = now + answer_timeout();
       // The former owner may have slowed it.
       placed.pace_unsure = placed.fill_millicores > 0;
       link.add({.job = id, .index = i}, std::move(placed));
@@ -255,8 +258,9 @@
     if (run->second.run != start.run) continue;  // a later run waits for its own record
     run->second.phase = start_phase::to_send;
     stats_.until_recorded.record(now - run->second.began);
-    send_due_orders(link->second, now);
+    ready_starts_.push_back(start);
   }
+  send_ready_starts(now);
   for (const auto& [life, number] : effects.ends) {
     auto* link = link_of(life);
     if (link == nullptr) continue;
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,14 +22,17 @@
 #include <tuple>
 #include <vector>
 
+#include "coltsfoot/jobs/answer_time.h"
 #include "coltsfoot/jobs/job_record.h"
 #include "coltsfoot/jobs/job_table.h"
 #include "coltsfoot/jobs/job_urgency.h"
 #include "coltsfoot/jobs/pacing.h"
 #include "coltsfoot/jobs/placement.h"
+#include "coltsfoot/jobs/start_window.h"
 #include "coltsfoot/jobs/worker_calls.h"
 #include "coltsfoot/jobs/worker_link.h"
 #include "coltsfoot/observe/latency_histogram.h"
+#include "coltsfoot/routing/retry_budget.h"
 #include "coltsfoot/transport/transport_error.h"
 
 namespace coltsfoot::jobs {
@@ -39,10 +43,19 @@
   duration lease{5'000};
   duration look_wait{800};            // how long a worker may hold back its answer
   duration mixed_look_wait{350};      // the same where filling tasks work beside serving ones
-  duration look_timeout{1'500};       // `look_wait` included
-  duration order_timeout{400};        // of starts and stops
-  duration order_retry{150};          // between two tries of an order
-  duration look_retry{200};           // after a look that failed
+  duration longest_look_wait{1'500};  // while answers take long
+  duration look_timeout{1'500};       // at least; `look_wait` included
+  // Calls without an answer are repeated after a time that follows the workers' answers, and given
+  // up with their connection only after these limits: until then a late answer still counts.
+  answer_time_options answers;
+  duration order_limit{1'500};  // of starts and stops
+  duration look_limit{2'500};   // beside the time that the worker may hold back its answer
+  start_window_options window;
+  retry_budget_options start_retries;
+  duration order_retry{150};  // between two tries of an order
+  duration full_pause{400};   // after a worker has said that it has no room
+  duration look_retry{200};   // after a look that failed; doubles with each further one
+  duration longest_look_retry{800};
   duration unrecorded_look{400};      // between looks while ends wait for the journal
   duration stop_settle{400};          // from a stop's answer until a look must show the end
   duration stall_limit{2'500};        // a run without any progress is started elsewhere
@@ -103,8 +116,9 @@
   void on_look_answer(const worker_life& life, const look_answer& answer, time_point sent_at,
                       time_point now);
 
-  // Does what is due: leases, looks, tries of orders.
-  void tick(time_point now, wall_time wall);
+  // Does what is due: leases, looks, tries of orders. `own_delay`: how late the threads of this
+  // node have run lately; an answer that is late by less says nothing about the worker.
+  void tick(time_point now, wall_time wall, duration own_delay = duration{0});
   // Places waiting tasks. Call it when the next batch can be appended.
   void place(time_point now, wall_time wall);
 
@@ -152,6 +166,10 @@
   const job_owner_stats& stats() const { return stats_; }
   const worker_links& links() const { return links_; }
   std::size_t waiting_jobs() const { return waiting_.size(); }
+  const start_window& window() const { return window_; }
+  const answer_time& answers() const { return answers_; }
+  // Recorded starts that wait for room in the window.
+  std::size_t unsent_starts() const { return ready_starts_.size(); }
 
  private:
   // A demand for which no worker had room.
@@ -239,6 +257,12 @@
   void tend_workers(time_point now);
   void tend_worker(worker_link& link, time_point now);
   void send_due_orders(worker_link& link, time_point now);
+  duration next_gap(placed_run& run) const;
+  void send_ready_starts(time_point now);
+  void repeat_start(worker_link& link, const task_key& key, placed_run& run, time_point now);
+  duration answer_timeout() const { return answers_.timeout() + own_delay_; }
+  void note_late_polls(worker_link& link, time_point now);
+  void note_failed_poll(worker_link& link, order_verdict verdict, time_point now);
   void send_start(worker_link& link, const task_key& key, placed_run& run, time_point now);
   void send_stop(worker_link& link, const run_ref& run);
   void send_pace(worker_link& link, const task_key& key, placed_run& run);
@@ -269,6 +293,7 @@
   time_point next_place_{};                     // when the next placing pass may begin
   worker_id last_tended_;
   std::vector<failed_demand> failed_demands_;  // of the present placing pass
+  std::size_t starts_left_ = 0;                // that the present placing pass may still decide
   std::set<job_id> cancelling_;                // cancelled jobs with runs that have not ended
   std::set<job_id> scheduled_;                 // jobs with occurrences that are not due yet
 
@@ -279,6 +304,11 @@
   recorded_effects next_;       // of the batch that will be taken next
   recorded_effects in_flight_;  // of the batch that is being appended
   std::vector<worker_order> orders_;
+  std::deque<recorded_start> ready_starts_;  // recorded, in the order of their urgency
+  start_window window_;
+  answer_time answers_;
+  retry_budget start_retries_;
+  duration own_delay_{0};
   bool fenced_ = false;
   time_point next_summary_{};
   job_owner_stats stats_;
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -10,8 +10,11 @@
 namespace coltsfoot::jobs {
 namespace {
 
-// How long a start may go unanswered before the run is stopped.
-constexpr duration patience_with_start{1'200};
+// A start that is unanswered for this many answer timeouts is stopped.
+constexpr int timeouts_until_stop = 3;
+
+// The time between two tries of an order doubles up to this many times.
+constexpr std::uint32_t most_doublings = 2;
 
 }  // namespace
 
@@ -22,8 +25,9 @@
   const auto lease_end = link.lease.extend(now, options_.lease);
   if (!lease_end) return;
   run.phase = start_phase::sent;
-  run.next_try = now + options_.order_timeout + options_.order_retry;
+  run.next_try = now + next_gap(run);
   run.sent_at = now;
+  window_.on_sent();
   ++stats_.starts;
   orders_.push_back({.life = link.life,
                      .address = link.listing->address,
@@ -33,7 +37,54 @@
                                           .checkpoint = j->tasks[key.index].checkpoint},
                      .former_lives = link.former_lives,
                      .transfers = link.listing->transfers,
-                     .timeout = options_.order_timeout});
+                     .timeout = options_.order_limit});
+}
+
+// Time until an order of a run is repeated.
+duration job_owner::next_gap(placed_run& run) const {
+  const auto doublings = std::min(run.tries++, most_doublings);
+  return (answer_timeout() + options_.order_retry) * (1U << doublings);
+}
+
+// Sends recorded starts, the most urgent first, as far as the window allows.
+void job_owner::send_ready_starts(time_point now) {
+  std::deque<recorded_start> blocked;
+  while (!ready_starts_.empty() && window_.has_room() && !fenced_) {
+    const auto start = std::move(ready_starts_.front());
+    ready_starts_.pop_front();
+    const auto link = links_.find(start.worker);
+    if (link == links_.end()) continue;
+    const auto run = link->second.runs.find(start.key);
+    if (run == link->second.runs.end() || run->second.run != start.run) continue;
+    if (run->second.phase != start_phase::to_send || run->second.stop_wanted) continue;
+    const auto* j = table_.find(start.key.job);
+    if (j == nullptr || j->ended()) continue;
+    // A start renews the lease too.
+    if (link->second.failed_looks == 0 && link->second.listing) {
+      send_start(link->second, start.key, run->second, now);
+    }
+    if (run->second.phase == start_phase::to_send) blocked.push_back(start);
+  }
+  ready_starts_.insert(ready_starts_.begin(), blocked.begin(), blocked.end());
+}
+
+// The order may be lost: the same one again, unless the worker has had enough time.
+void job_owner::repeat_start(worker_link& link, const task_key& key, placed_run& run,
+                             time_point now) {
+  const auto* j = table_.find(key.job);
+  if (j == nullptr || j->ended()) return;
+  run.doubtful = true;
+  if (now - run.progressed_at > timeouts_until_stop * answer_timeout()) {
+    run.stop_wanted = true;
+    run.tries = 0;
+    run.next_try = now;
+    return;
+  }
+  if (!start_retries_.try_retry()) {
+    run.next_try = now + answer_timeout();
+    return;
+  }
+  send_start(link, key, run, now);
 }
 
 void job_owner::send_stop(worker_link& link, const run_ref& run) {
@@ -42,52 +93,52 @@
                      .order = stop_order{.run = run},
                      .former_lives = link.former_lives,
                      .transfers = link.listing->transfers,
-                     .timeout = options_.order_timeout});
+                     .timeout = options_.order_limit});
 }
 
-// Where filling tasks work beside serving ones, the tails are read more often.
+// Where filling tasks work beside serving ones, the tails are read more often. While answers take
+// long, workers are asked less often: the looks are a part of the load.
 duration job_owner::look_wait_of(const worker_link& link) const {
+  constexpr int wait_per_delay = 8;
   const bool mixed = link.serving > 0 && link.fill_millicores > 0;
-  return mixed ? options_.mixed_look_wait : options_.look_wait;
+  const auto wait = mixed ? options_.mixed_look_wait : options_.look_wait;
+  return std::min(wait + wait_per_delay * answers_.mean(), options_.longest_look_wait);
 }
 
 void job_owner::send_look(worker_link& link, time_point now) {
-  link.looking = true;
   const bool settled = link.recorded_end == link.seen_end;
   const bool patient = settled && link.failed_looks == 0 && link.last_contact.has_value();
   // A look without an answer may have been carried out: it would renew a lease that nobody can tell
   // to be over.
   const bool renew = link.failed_looks == 0;
+  const auto wait = patient ? look_wait_of(link) : duration{0};
+  const auto answered_after = wait + answer_timeout();
+  const auto patience = patient ? std::max(options_.look_timeout, answered_after) : answered_after;
+  link.open_polls[now] = {.answer_by = now + patience, .wait = wait};
   orders_.push_back({.life = link.life,
                      .address = link.listing->address,
                      .order = look_order{.forget_up_to = link.recorded_end,
                                          .lease_end = renew ? link.lease.extend(now, options_.lease)
                                                             : std::nullopt,
-                                         .wait = patient ? look_wait_of(link) : duration{0}},
+                                         .wait = wait},
                      .former_lives = link.former_lives,
                      .transfers = link.listing->transfers,
-                     .timeout = patient ? options_.look_timeout : options_.order_timeout});
+                     .timeout = patient ? wait + options_.look_limit : options_.order_limit});
 }
 
 void job_owner::send_due_orders(worker_link& link, time_point now) {
   if (!link.listing || fenced_) return;
-  if (!link.looking && now >= link.next_look) send_look(link, now);
+  if (link.may_poll() && now >= link.next_look) send_look(link, now);
   for (auto& [key, run] : link.runs) {
+    if (run.stop_answered || now < run.next_try) continue;
     // A start renews the lease too.
-    const bool start_due =
-        link.failed_looks == 0 && (run.phase == start_phase::to_send ||
-                                   (run.phase == start_phase::sent && now >= run.next_try));
-    if (!run.stop_wanted && !start_due) continue;
+    const bool repeats = run.phase == start_phase::sent && link.failed_looks == 0;
+    if (repeats && !run.stop_wanted) repeat_start(link, key, run, now);
+    if (!run.stop_wanted || now < run.next_try) continue;
+    run.next_try = now + next_gap(run);
+    // The job's steps are known as long as the job is, also after its end.
     const auto* j = table_.find(key.job);
-    if (run.stop_wanted) {
-      if (run.stop_sent || run.stop_answered || now < run.next_try) continue;
-      run.stop_sent = true;
-      run.next_try = now + options_.order_timeout + options_.order_retry;
-      // The job's steps are known as long as the job is, also after its end.
-      if (j != nullptr) send_stop(link, {.task = j->ref_of(key.index), .run = run.run});
-      continue;
-    }
-    if (j != nullptr && !j->ended()) send_start(link, key, run, now);
+    if (j != nullptr) send_stop(link, {.task = j->ref_of(key.index), .run = run.run});
   }
 }
 
@@ -99,6 +150,12 @@
 
 void job_owner::on_start_answer(const worker_life& life, const run_ref& ref,
                                 const order_answer& answer, time_point now) {
+  window_.on_ended(answer.taken);
+  if (is_answered(answer.verdict)) {
+    answers_.observe(answer.taken);
+    start_retries_.on_first_attempt();
+  }
+  send_ready_starts(now);
   auto* link = link_of(life);
   if (link == nullptr) return;
   if (answer.clock) note_contact(*link, answer.clock, now);
@@ -136,7 +193,7 @@
       run->confirmed_at = now;
       return;
     case order_verdict::no_room:
-      link->backoff.on_rejection(now + options_.order_timeout);
+      link->backoff.on_rejection(now + options_.full_pause);
       return reject("no_room");
     case order_verdict::bad_ticket:
       return reject("bad_ticket");
@@ -155,8 +212,6 @@
     case order_verdict::unanswered:
       ++stats_.unanswered;
       run->doubtful = true;
-      run->next_try = now;
-      if (now - run->progressed_at > patience_with_start) return stop_run(*link, key, now);
       return send_due_orders(*link, now);
   }
 }
@@ -173,10 +228,9 @@
   task_key key;
   auto* run = run_of(*link, ref, key);
   if (run == nullptr || !run->stop_wanted) return;
-  run->stop_sent = false;
   if (answer.verdict == order_verdict::accepted) {
     run->stop_answered = now;
-  } else {
+  } else if (answer.verdict != order_verdict::unanswered) {
     run->next_try = now + options_.order_retry;
   }
 }
@@ -209,7 +263,7 @@
                                          .percent = run.pace},
                      .former_lives = link.former_lives,
                      .transfers = link.listing->transfers,
-                     .timeout = options_.order_timeout});
+                     .timeout = options_.order_limit});
 }
 
 void job_owner::on_pace_answer(const worker_life& life, const run_ref& ref,
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -30,6 +30,8 @@
   failed_demands_.clear();
   judged_ = waiting_.size();
   room_is_free_ = much_room_is_free();
+  starts_left_ =
+      window_.room_beside(ready_starts_.size() + next_.starts.size() + in_flight_.starts.size());
   std::vector<std::pair<job_urgency, job*>> order;
   order.reserve(waiting_.size());
   for (const auto& [id, since] : waiting_) {
@@ -115,6 +117,7 @@
 }
 
 void job_owner::place_job(job& j, time_point now) {
+  if (starts_left_ == 0) return;
   const auto& spec = j.accepted.spec;
   for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
     if (!occurrence_due(j, occurrence)) break;
@@ -188,6 +191,7 @@
   bool placed_starved = false;  // one run is enough: the others wait for room
   for (auto i = first; i < last; ++i) {
     if (j.tasks[i].phase != task_phase::waiting) continue;
+    if (starts_left_ == 0) return;
     const bool restart = j.tasks[i].run > 0;
     const bool starved = spec.fill && is_starved(j, now) && !placed_starved;
     ranked = ranked && restart == request.restart && starved == request.starved;
@@ -203,6 +207,7 @@
     if (link == nullptr) continue;
     placed_starved = true;
     assign(j, i, *link, j.tasks[i].run + 1, now);
+    --starts_left_;
     link->backoff.on_start(now);
     ++request.siblings[link->life.worker];
     ranking->reconsider_best();
@@ -239,6 +244,7 @@
     }
   }
   if (chosen.size() == last - first) {
+    starts_left_ -= std::min(starts_left_, chosen.size());
     for (const auto& [link, index] : chosen) link->backoff.on_start(now);
     return;
   }
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -18,9 +18,12 @@
 
 }  // namespace
 
-void job_owner::tick(time_point now, wall_time wall) {
+void job_owner::tick(time_point now, wall_time wall, duration own_delay) {
   wall_ = wall;
+  own_delay_ = own_delay;
+  window_.adjust(now);
   tend_workers(now);
+  send_ready_starts(now);
   for (const auto& id : std::vector<job_id>{cancelling_.begin(), cancelling_.end()}) {
     if (auto* j = table_.find(id)) {
       stop_runs_of(id, now);
@@ -69,6 +72,7 @@
 }
 
 void job_owner::tend_worker(worker_link& link, time_point now) {
+  note_late_polls(link, now);
   const bool silent = link.failed_looks > 0 || !link.last_contact || !link.listing;
   if (silent && now >= link.lease.lapses_at() && !link.runs.empty()) {
     end_life(link, "lease_lapsed", now);
@@ -129,6 +133,11 @@
                   median_ms(stats_.until_started), tail_ms(stats_.until_started),
                   median_ms(stats_.until_recorded), tail_ms(stats_.until_recorded),
                   median_ms(stats_.until_answered), tail_ms(stats_.until_answered)));
+  log(severity::info,
+      fmt::format("event=owner_load start_window={} starts_under_way={} unsent_starts={} "
+                  "answer_ms={} answer_timeout_ms={} own_delay_ms={}",
+                  window_.size(), window_.under_way(), ready_starts_.size(),
+                  answers_.mean().count(), answers_.timeout().count(), own_delay_.count()));
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -19,6 +19,9 @@
 // Reported of a long-running task that has started up.
 constexpr std::uint32_t at_work_percent = 100;
 
+// The time between failed looks doubles up to this many times.
+constexpr std::uint32_t most_poll_doublings = 4;
+
 // Weight of a new figure beside the former ones, which it replaces with this time constant.
 double weight_of_newest(duration since_former) {
   constexpr double time_constant_ms = 500;
@@ -48,7 +51,7 @@
     // The entry before this one may have come from another writer.
     link.life.incarnation = listing.incarnation;
     ++link.former_lives;
-    link.looking = false;
+    link.open_polls.clear();
   }
   if (listing.incarnation < link.life.incarnation) {
     // A late entry of a former life, unless the worker's clock was set back: a look will tell.
@@ -153,6 +156,7 @@
   link.seen_end = 0;
   link.recorded_end = 0;
   link.backoff = {};
+  link.open_polls.clear();  // of the former life, whose answers don't count
   std::set<run_ref> listed;
   for (const auto& row : report.running) listed.insert(row.run);
   std::vector<task_key> over;
@@ -172,7 +176,7 @@
       // A stop keeps the order from being carried out later.
       run.phase = start_phase::sent;
       run.stop_wanted = true;
-      run.stop_sent = false;
+      run.tries = 0;
       run.stop_answered.reset();
       run.next_try = now;
     }
@@ -207,6 +211,7 @@
   }
   if (run.stop_wanted) return;
   run.stop_wanted = true;
+  run.tries = 0;
   run.next_try = now;
   send_due_orders(link, now);
 }
@@ -219,11 +224,33 @@
 
 // --- Looks ---
 
+// A look is late that a sound worker would have had answered by now, whatever the delays of this
+// node. Its connection stays open for the answer.
+void job_owner::note_late_polls(worker_link& link, time_point now) {
+  for (auto& [sent_at, poll] : link.open_polls) {
+    if (poll.overdue || now < poll.answer_by + own_delay_) continue;
+    poll.overdue = true;
+    note_failed_poll(link, order_verdict::unanswered, now);
+  }
+}
+
+void job_owner::note_failed_poll(worker_link& link, order_verdict verdict, time_point now) {
+  const auto doublings = std::min(link.failed_looks, most_poll_doublings);
+  link.next_look =
+      now + std::min(options_.look_retry * (1U << doublings), options_.longest_look_retry);
+  ++link.failed_looks;
+  if (link.failed_looks != 2) return;
+  log(severity::warning,
+      fmt::format("event=worker_lost worker={} verdict={} runs={}",
+                  log_value(link.life.worker.value), name_of(verdict), link.runs.size()));
+}
+
 void job_owner::on_look_answer(const worker_life& life, const look_answer& answer,
                                time_point sent_at, time_point now) {
   auto* link = link_of(life);
   if (link == nullptr) return;
-  link->looking = false;
+  const auto open = link->open_polls.extract(sent_at);
+  const bool overdue = !open.empty() && open.mapped().overdue;
   if (answer.verdict == order_verdict::fenced) {
     fenced_ = true;
     return;
@@ -234,15 +261,16 @@
     return;
   }
   if (answer.verdict != order_verdict::accepted) {
-    ++link->failed_looks;
-    link->next_look = now + options_.look_retry;
-    if (link->failed_looks == 2) {
-      log(severity::warning,
-          fmt::format("event=worker_lost worker={} verdict={} runs={}",
-                      log_value(life.worker.value), name_of(answer.verdict), link->runs.size()));
-    }
+    if (!overdue) note_failed_poll(*link, answer.verdict, now);
     return;
   }
+  // Answers on several connections overtake each other: a newer report has told all of this one.
+  if (link->newest_report && sent_at < *link->newest_report) return;
+  link->newest_report = sent_at;
+  if (!open.empty()) {
+    const auto delay = now - sent_at - open.mapped().wait;
+    if (delay > duration{0}) answers_.observe(delay);
+  }
   const auto& report = answer.report;
   const bool other_life = report.incarnation != 0 && report.incarnation != link->life.incarnation;
   if (other_life && is_unproved(*link) && report.incarnation < link->life.incarnation) {
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -47,9 +47,9 @@
   read_journal();
 }
 
-void job_shard::on_tick() {
+void job_shard::on_tick(duration own_delay) {
   expire_caller_appends();
-  if (owner_) owner_->tick(context_.now, context_.wall);
+  if (owner_) owner_->tick(context_.now, context_.wall, own_delay);
 }
 
 void job_shard::on_pause() {
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -29,7 +29,8 @@
   void on_append_ended(const append_ended& event);
   void on_read(topic_read event);
   void on_notice(const keyed_record& record);
-  void on_tick();
+  // `own_delay`: how late the threads of this node have run lately.
+  void on_tick(duration own_delay);
   // Gives the owner the workers of this shard.
   void on_listing(const worker_listing& listing);
   void on_listings(const std::vector<worker_listing>& listings);
--- a/coltsfoot/jobs/node_messages.h
+++ b/coltsfoot/jobs/node_messages.h
@@ -92,6 +92,7 @@
   worker_life life;
   run_ref run;
   order_answer answer;
+  time_point sent_at;
 };
 struct stop_answered {
   order_origin origin;
@@ -120,7 +121,9 @@
   tl::expected<peer_reply, peer_failure> result;
 };
 struct shutdown_asked {};
-struct time_passed {};
+struct time_passed {
+  duration own_delay{0};  // how late the threads of this node have run lately
+};
 
 using node_event = std::variant<caller_request, append_ended, topic_read, start_answered,
                                 stop_answered, pace_answered, look_answered, peer_asked,
--- a/coltsfoot/jobs/worker_calls.h
+++ b/coltsfoot/jobs/worker_calls.h
@@ -83,8 +83,14 @@
 struct order_answer {
   order_verdict verdict = order_verdict::unanswered;
   std::optional<worker_clock> clock;
+  duration taken{0};  // from sending the order to its result
 };
 
+// Whether the worker itself has answered.
+constexpr bool is_answered(order_verdict verdict) {
+  return verdict != order_verdict::not_sent && verdict != order_verdict::unanswered;
+}
+
 struct running_row {
   run_ref run;
   std::string checkpoint;
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -1,5 +1,6 @@
 #include "coltsfoot/jobs/worker_link.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coltsfoot::jobs {
@@ -8,6 +9,10 @@
 // Without an answer for this long, a worker gets no new work.
 constexpr duration contact_limit{2'500};
 
+// Looks under way at a time. Beside a second one, whose connection may be broken too, a connection
+// stays free for orders.
+constexpr std::size_t most_open_polls = 2;
+
 // Share of their processors that serving tasks are assumed to leave to filling ones, in percent.
 constexpr int left_by_serving_percent = 60;
 
@@ -72,6 +77,13 @@
   return assumed - paced_fill_millicores;
 }
 
+bool worker_link::may_poll() const {
+  return open_polls.size() < most_open_polls &&
+         std::all_of(
+             open_polls.begin(), open_polls.end(),
+             [](const auto& entry) { return entry.second.overdue; });
+}
+
 std::optional<placing_obstacle> worker_link::obstacle(time_point now) const {
   if (!listed) return placing_obstacle::unlisted;
   if (listing->draining) return placing_obstacle::draining;
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -35,9 +35,9 @@
   bool listed = false;    // a report has shown it as running
   bool doubtful = false;  // an order got no answer: it may still be carried out
   time_point next_try{};
+  std::uint32_t tries = 0;  // of the order that is due next
   time_point confirmed_at{};
   bool stop_wanted = false;
-  bool stop_sent = false;
   std::optional<time_point> stop_answered;
   std::uint32_t percent = 0;
   time_point progressed_at{};  // when `percent` changed
@@ -98,7 +98,13 @@
   time_point paced_at{};  // when the pace of a run was changed last
 
   // Looks.
-  bool looking = false;
+  struct open_poll {
+    time_point answer_by;
+    duration wait{0};      // that the worker may hold back its answer
+    bool overdue = false;  // counted in `failed_looks`; its answer still counts if it comes
+  };
+  std::map<time_point, open_poll> open_polls;  // looks without an answer, by when they were sent
+  std::optional<time_point> newest_report;     // when the look of the newest report was sent
   time_point next_look{};
   std::optional<time_point> last_contact;
   std::uint64_t seen_end = 0;      // ends up to this number are handled
@@ -123,6 +129,9 @@
   // Processors that filling tasks could use and do not.
   std::int64_t idle_millicores() const;
 
+  // Whether a look may be sent: none is under way, or all of those are overdue.
+  bool may_poll() const;
+
   // Why no new work may be placed here, whatever it is; nothing if it may.
   std::optional<placing_obstacle> obstacle(time_point now) const;
   // Whether new work may be placed here.
--- a/tests/jobs/fake_runner.cc
+++ b/tests/jobs/fake_runner.cc
@@ -111,6 +111,7 @@
 
 void fake_runner::end(const jobs::task_ref& task, run_end how) {
   const auto run = runs_.at(task).run;
+  if (how == run_end::lapsed) ++lapsed_;
   runs_.erase(task);
   auto& highest = ended_runs_[task];
   highest = std::max(highest, run);
--- a/tests/jobs/fake_runner.h
+++ b/tests/jobs/fake_runner.h
@@ -49,6 +49,8 @@
   };
   const std::map<jobs::task_ref, running>& runs() const { return runs_; }
   resources free() const;
+  // Runs that ended because the lease was over, in all lives.
+  std::size_t lapsed() const { return lapsed_; }
 
  private:
   jobs::worker_clock clock(time_point now) const;
@@ -66,6 +68,7 @@
   std::map<jobs::task_ref, jobs::run_number> ended_runs_;  // highest by task
   std::vector<jobs::ended_row> ends_;
   std::uint64_t last_end_ = 0;
+  std::size_t lapsed_ = 0;
 };
 
 }  // namespace coltsfoot::testing
