Read journals and the configuration over a link that is full

Cause: after an outage a node reads what it has missed of all journals at once, in pages of 256 KB that had to arrive whole within 1.4 s. Over a link of 2 Mbit/s none did; the bytes were thrown away and asked for again.

Change: a read may take up to 10 s as long as bytes arrive; the former time limit counts from the newest byte (stall_timeout). A node says that a queue does not exist only if it has read the configuration to its end within 2.5 s, and otherwise 503, which is true.

Ruled out: the store (the nodes beside it had version 20 within 3 s).

Tests: an_answer_that_makes_progress_outlasts_the_stall_timeout, an_answer_that_stops_ends_at_the_stall_timeout, a_node_that_cannot_read_the_configuration_says_of_no_queue_that_it_is_unknown.

--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -73,6 +73,8 @@
   bool journals_are_read() const;
   // Whether the copies of all shards are new enough to prove that a job is not there.
   bool journals_are_fresh() const;
+  // Whether the configuration is new enough to prove that a queue is not there.
+  bool configuration_is_fresh() const;
 
   // Shards and workers.
   // The owner that gave an order, if it still owns its shard; otherwise null.
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -34,7 +34,13 @@
   }
   const auto* queue = config_->match(request.host, request.path);
   if (queue == nullptr) {
-    return context_.answer(request.call, {.verdict = caller_verdict::no_such_queue});
+    if (configuration_is_fresh()) {
+      return context_.answer(request.call, {.verdict = caller_verdict::no_such_queue});
+    }
+    // A newer configuration may have it.
+    return context_.answer(request.call, {.verdict = caller_verdict::unavailable,
+                                          .retry_after = context_.options.retry_after,
+                                          .detail = "the configuration is being read"});
   }
   const std::string name = request.path.substr(queue->path_prefix.size());
   if (request.action == caller_action::count ||
@@ -84,6 +90,12 @@
                      [](const auto& shard) { return shard->is_fresh(); });
 }
 
+bool job_node::configuration_is_fresh() const {
+  const auto read_at = configuration_.last_success();
+  return configuration_.caught_up() && read_at &&
+         context_.now - *read_at < context_.options.store_silence;
+}
+
 std::size_t job_node::pending(const queue_id& queue) const {
   std::size_t sum = 0;
   for (const auto& shard : shards_) sum += shard->table().pending(queue);
--- a/coltsfoot/transport/http_client.cc
+++ b/coltsfoot/transport/http_client.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -38,6 +39,7 @@
   std::size_t header_bytes = 0;
   bool length_known = false;  // Content-Length or chunked
   int attempts = 0;           // times that libcurl was about to send the request
+  std::chrono::steady_clock::time_point progressed_at;  // when bytes of the answer came last
 };
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user) {
@@ -45,6 +47,7 @@
   const auto bytes = size * count;
   if (t.response.body.size() + bytes > t.limits.max_answer_bytes) return CURL_WRITEFUNC_ERROR;
   t.response.body.append(data, bytes);
+  t.progressed_at = std::chrono::steady_clock::now();
   return bytes;
 }
 
@@ -269,8 +272,10 @@
       if (stopping) return end_all();
       constexpr duration longest_wait{1'000};
       constexpr duration longest_wait_with_queue{20};
-      loop_.run_once(queues_.waiting() == 0 ? longest_wait : longest_wait_with_queue);
+      loop_.run_once(
+          std::min(queues_.waiting() == 0 ? longest_wait : longest_wait_with_queue, until_stall()));
       collect();
+      end_stalled();
       for (auto& t : queues_.take_expired(std::chrono::steady_clock::now())) {
         t->done(tl::unexpected(failure(*t, "no connection in time")));
       }
@@ -304,6 +309,8 @@
     t->handle = unused_handle();
     prepare(*t);
     CURL* handle = t->handle.get();
+    t->progressed_at = std::chrono::steady_clock::now();
+    if (t->request.stall_timeout) watched_.insert(handle);
     open_.emplace(handle, std::move(t));
     loop_.add(handle);
   }
@@ -312,15 +319,45 @@
     while (const auto ended = loop_.next_ended()) {
       CURL* handle = ended->handle;
       const CURLcode code = ended->code;
-      auto t = std::move(open_.at(handle));
-      open_.erase(handle);
-      loop_.remove(handle);
-      count(*t, code);
-      auto result = result_of(*t, code);
-      keep_for_reuse(std::move(t->handle));
-      if (auto next = queues_.release(t->host)) begin(std::move(next));
-      t->done(std::move(result));
+      end(handle, code);
+    }
+  }
+
+  void end(CURL* handle, CURLcode code) {
+    auto t = std::move(open_.at(handle));
+    open_.erase(handle);
+    watched_.erase(handle);
+    loop_.remove(handle);
+    count(*t, code);
+    auto result = result_of(*t, code);
+    keep_for_reuse(std::move(t->handle));
+    if (auto next = queues_.release(t->host)) begin(std::move(next));
+    t->done(std::move(result));
+  }
+
+  std::chrono::steady_clock::time_point stall_time(CURL* handle) const {
+    const auto& t = *open_.at(handle);
+    return t.progressed_at + *t.request.stall_timeout;
+  }
+
+  // Time until the first of the watched requests would count as stalled.
+  duration until_stall() const {
+    duration left = duration::max();
+    const auto now = std::chrono::steady_clock::now();
+    for (CURL* handle : watched_) {
+      left = std::min(left, std::chrono::ceil<duration>(stall_time(handle) - now));
+    }
+    return std::max(left, duration{0});
+  }
+
+  void end_stalled() {
+    std::vector<CURL*> stalled;
+    const auto now = std::chrono::steady_clock::now();
+    for (CURL* handle : watched_) {
+      if (now >= stall_time(handle)) stalled.push_back(handle);
     }
+    // Removing an unfinished transfer closes its connection.
+    for (CURL* handle : stalled) end(handle, CURLE_OPERATION_TIMEDOUT);
   }
 
   // Making a handle costs more than resetting one.
@@ -359,6 +396,7 @@
   std::atomic<duration::rep> longest_delay_ms_ = 0;
   // Used by the thread only.
   std::unordered_map<CURL*, std::unique_ptr<transfer>> open_;
+  std::set<CURL*> watched_;  // open requests with a stall timeout
   std::vector<easy_handle> unused_;
   internal::host_queues<transfer> queues_;
   std::thread thread_;
--- a/coltsfoot/transport/http_client.h
+++ b/coltsfoot/transport/http_client.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -35,7 +36,10 @@
   std::string url;  // http only
   std::vector<http_header> headers;
   std::string body;
-  duration timeout{10'000};         // connecting and waiting for a connection included
+  duration timeout{10'000};  // connecting and waiting for a connection included
+  // If set, the request also fails once no byte of the answer has come for this long. `timeout` may
+  // then be far longer: a large answer over a slow link is waited for as long as it makes progress.
+  std::optional<duration> stall_timeout;
   std::string_view kind = "other";  // under which its traffic is counted; a string literal
 };
 
--- a/coltsfoot/transport/http_client_test.cc
+++ b/coltsfoot/transport/http_client_test.cc
@@ -100,5 +100,42 @@
   EXPECT_EQ(result->status, 302);
 }
 
+// Sends the head of an answer of `parts` bytes, and then one byte in each `gap`.
+scripted_server::script dribble(int parts, duration gap) {
+  return [parts, gap](asio::ip::tcp::socket& socket) {
+    internal::read_head(socket);
+    asio::error_code error;
+    const auto head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(parts) + "\r\n\r\n";
+    asio::write(socket, asio::buffer(head), error);
+    for (int i = 0; i < parts && !error; ++i) {
+      std::this_thread::sleep_for(gap);
+      asio::write(socket, asio::buffer("x", 1), error);
+    }
+  };
+}
+
+// A page that takes longer than an answer that is lost would be read from its start for ever.
+TEST(http_client_test, an_answer_that_makes_progress_outlasts_the_stall_timeout) {
+  internal::scripted_server server{dribble(10, duration{60})};
+  http_client client{{}};
+  const auto result = fetch(client, {.url = "http://" + server.address() + "/",
+                                     .timeout = duration{10'000},
+                                     .stall_timeout = duration{300}});
+  ASSERT_TRUE(result) << result.error().detail;
+  EXPECT_EQ(result->body, "xxxxxxxxxx");
+}
+
+TEST(http_client_test, an_answer_that_stops_ends_at_the_stall_timeout) {
+  internal::scripted_server server{dribble(2, duration{1'500})};
+  http_client client{{}};
+  const auto begun = std::chrono::steady_clock::now();
+  const auto result = fetch(client, {.url = "http://" + server.address() + "/",
+                                     .timeout = duration{60'000},
+                                     .stall_timeout = duration{300}});
+  ASSERT_FALSE(result);
+  EXPECT_EQ(result.error().kind, http_failure::unknown);
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, duration{10'000});
+}
+
 }  // namespace
 }  // namespace coltsfoot
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -256,6 +256,20 @@
   EXPECT_EQ(fleet.owner(), second);
 }
 
+// A newer configuration may have the queue: the caller would believe that it does not exist.
+TEST(job_fleet_test,
+     a_node_that_cannot_read_the_configuration_says_of_no_queue_that_it_is_unknown) {
+  virtual_fleet fleet{{.nodes = 2, .seed = 17}};
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{10'000}));
+  fleet.run_for(duration{1'000});
+  const auto known = fleet.submit_to(0, "/other/job", two_steps(1));
+  EXPECT_EQ(fleet.answer_of(known)->verdict, jobs::caller_verdict::no_such_queue);
+  fleet.cut_store(0, true);
+  fleet.run_for(duration{4'000});
+  const auto cut = fleet.submit_to(0, "/other/job", two_steps(1));
+  EXPECT_EQ(fleet.answer_of(cut)->verdict, jobs::caller_verdict::unavailable);
+}
+
 TEST(job_fleet_test, a_compacted_history_is_read_again) {
   virtual_fleet fleet{{}};
   wait_until_settled(fleet);
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -379,6 +379,17 @@
   return call;
 }
 
+call_id virtual_fleet::submit_to(int node, const std::string& path, jobs::job_spec spec) {
+  const auto call = ++last_call_;
+  deliver(node, jobs::caller_request{.call = call,
+                                     .action = jobs::caller_action::submit,
+                                     .host = "h",
+                                     .path = path,
+                                     .time_left = duration{3'000},
+                                     .spec = std::move(spec)});
+  return call;
+}
+
 call_id virtual_fleet::submit(int node, const std::string& id, jobs::job_spec spec) {
   specs_[id] = spec;
   const auto call = ask(node, id, jobs::caller_action::submit, std::move(spec));
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -51,6 +51,8 @@
 
   // --- Callers: the answer arrives in `answer_of` ---
   call_id submit(int node, const std::string& id, jobs::job_spec spec);
+  // Submits a job to a path that need not be of the fleet's queue.
+  call_id submit_to(int node, const std::string& path, jobs::job_spec spec);
   call_id cancel(int node, const std::string& id);
   call_id query(int node, const std::string& id);
   call_id count(int node);
