Keep looks frequent beside a few slow workers

Cause: the wait of looks and the timeouts followed the mean answer time of all workers, so that some slow workers made the owner read the tails of all others up to four times less often, and a pace order without an answer was repeated after 1.5 s.

Change: looks wait twice as long only while the start window shrinks; one answer counts for at most twice the present timeout; a pace order is repeated after the answer timeout.

--- a/coltsfoot/jobs/answer_time.h
+++ b/coltsfoot/jobs/answer_time.h
@@ -26,7 +26,8 @@
 
   // Notes a call that was answered after `taken`.
   void observe(duration taken) {
-    const auto sample = static_cast<double>(taken.count());
+    // A single worker that is slow must not raise the timeouts of all others.
+    const auto sample = static_cast<double>(std::min(taken, 2 * timeout()).count());
     const double error = sample - mean_ms_;
     mean_ms_ += error * mean_weight;
     deviation_ms_ += (std::abs(error) - deviation_ms_) * deviation_weight;
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -41,10 +41,9 @@
   // Long enough to outlast the takeover by another node, short enough that the work of a worker
   // that was cut off goes on soon.
   duration lease{5'000};
-  duration look_wait{800};            // how long a worker may hold back its answer
-  duration mixed_look_wait{350};      // the same where filling tasks work beside serving ones
-  duration longest_look_wait{1'500};  // while answers take long
-  duration look_timeout{1'500};       // at least; `look_wait` included
+  duration look_wait{800};        // how long a worker may hold back its answer
+  duration mixed_look_wait{350};  // the same where filling tasks work beside serving ones
+  duration look_timeout{1'500};   // at least; `look_wait` included
   // Calls without an answer are repeated after a time that follows the workers' answers, and given
   // up with their connection only after these limits: until then a late answer still counts.
   answer_time_options answers;
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -96,13 +96,12 @@
                      .timeout = options_.order_limit});
 }
 
-// Where filling tasks work beside serving ones, the tails are read more often. While answers take
-// long, workers are asked less often: the looks are a part of the load.
+// Where filling tasks work beside serving ones, the tails are read more often. While the owner has
+// more to send than it can, workers are asked half as often: looks are a part of the load.
 duration job_owner::look_wait_of(const worker_link& link) const {
-  constexpr int wait_per_delay = 8;
   const bool mixed = link.serving > 0 && link.fill_millicores > 0;
   const auto wait = mixed ? options_.mixed_look_wait : options_.look_wait;
-  return std::min(wait + wait_per_delay * answers_.mean(), options_.longest_look_wait);
+  return window_.congested() ? 2 * wait : wait;
 }
 
 void job_owner::send_look(worker_link& link, time_point now) {
@@ -263,7 +262,7 @@
                                          .percent = run.pace},
                      .former_lives = link.former_lives,
                      .transfers = link.listing->transfers,
-                     .timeout = options_.order_limit});
+                     .timeout = answer_timeout()});
 }
 
 void job_owner::on_pace_answer(const worker_life& life, const run_ref& ref,
--- a/coltsfoot/jobs/start_window.h
+++ b/coltsfoot/jobs/start_window.h
@@ -35,6 +35,8 @@
     return taken < size_ ? size_ - taken : 0;
   }
   std::size_t size() const { return size_; }
+  // Whether many answers were late before the newest adjustment.
+  bool congested() const { return congested_; }
   std::size_t under_way() const { return under_way_; }
 
   void on_sent() {
@@ -52,8 +54,8 @@
   void adjust(time_point now) {
     if (now < next_adjustment_) return;
     next_adjustment_ = now + options_.interval;
-    const bool congested = late_ >= fewest_late && late_ * late_share > ended_;
-    if (congested) {
+    congested_ = late_ >= fewest_late && late_ * late_share > ended_;
+    if (congested_) {
       size_ = std::max(options_.smallest, size_ / 2);
     } else if (reached_) {
       size_ = std::min(options_.largest, size_ + size_ / 4 + 1);
@@ -75,6 +77,7 @@
   std::size_t ended_ = 0;  // since the last adjustment
   std::size_t late_ = 0;   // of these
   bool reached_ = false;   // since the last adjustment
+  bool congested_ = false;
   time_point next_adjustment_{};
 };
 
--- a/coltsfoot/jobs/start_window_test.cc
+++ b/coltsfoot/jobs/start_window_test.cc
@@ -25,6 +25,7 @@
 TEST_F(start_window_test, shrinks_while_answers_are_late_and_never_closes) {
   play_interval(late);
   EXPECT_EQ(window_.size(), 32U);
+  EXPECT_TRUE(window_.congested());
   for (int i = 0; i < 10; ++i) play_interval(late);
   EXPECT_EQ(window_.size(), 8U);
   EXPECT_TRUE(window_.has_room());
