Open the shards as soon as the layout is read

Cause: a node that found the layout and a request in one batch of events, as after a restart or a pause, looked for the request's shard before it had opened it: std::out_of_range in the control thread, which ends the process.

Change: shards are opened when the layout record is applied. The virtual fleet delivers what a frozen node finds as one batch, like the daemon.

Test: a_node_that_finds_the_layout_and_requests_together_serves_them; with the call taken out it fails with vector::_M_range_check.

--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -161,7 +161,10 @@
 void job_node::on(topic_read event) {
   if (event.topic == store_topic::jobs) {
     const auto number = event.shard;
-    if (number < shards_.size()) shards_[number]->on_read(std::move(event));
+    if (number >= shards_.size()) return;
+    shards_[number]->on_read(std::move(event));
+    // Events of the same batch already see the layout that was read.
+    open_shards();
     return;
   }
   if (event.topic == store_topic::configuration) {
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -408,6 +408,29 @@
   EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
 }
 
+// The request would name a shard that the node has not opened, and end the process; or the node
+// would say of a job in such a shard that it does not exist.
+TEST(job_fleet_test, a_node_that_finds_the_layout_and_requests_together_serves_them) {
+  virtual_fleet fleet{{.nodes = 3, .workers = 40, .seed = 41, .workers_per_shard = 10}};
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{20'000}));
+  constexpr int jobs = 12;
+  for (int i = 0; i < jobs; ++i) fleet.submit(0, "job-" + std::to_string(i), long_running_job(1));
+  fleet.run_for(duration{1'000});
+  fleet.kill_node(2);
+  fleet.start_node(2);
+  fleet.freeze_node(2, true);
+  fleet.run_for(duration{50});
+  std::vector<call_id> queries;
+  for (int i = 0; i < jobs; ++i) queries.push_back(fleet.query(2, "job-" + std::to_string(i)));
+  for (int i = 0; i < jobs; ++i) fleet.submit(2, "new-" + std::to_string(i), long_running_job(1));
+  ASSERT_NO_THROW(fleet.freeze_node(2, false));
+  fleet.run_for(duration{3'000});
+  for (const auto query : queries) {
+    ASSERT_NE(fleet.answer_of(query), nullptr);
+    EXPECT_NE(fleet.answer_of(query)->verdict, caller_verdict::no_such_job);
+  }
+}
+
 TEST(job_fleet_test, the_layout_survives_the_loss_of_all_nodes) {
   virtual_fleet fleet{four_shards(3)};
   wait_until_settled(fleet);
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -171,7 +171,7 @@
   auto& state = nodes_.at(static_cast<std::size_t>(node));
   state.frozen = frozen;
   if (frozen) return;
-  for (auto& event : std::exchange(state.waiting, {})) deliver(node, std::move(event));
+  deliver_all(node, std::exchange(state.waiting, {}));
 }
 
 void virtual_fleet::cut_store(int node, bool cut) {
@@ -197,8 +197,16 @@
     state.waiting.push_back(std::move(event));
     return;
   }
+  std::deque<jobs::node_event> events;
+  events.push_back(std::move(event));
+  deliver_all(node, std::move(events));
+}
+
+void virtual_fleet::deliver_all(int node, std::deque<jobs::node_event> events) {
+  auto& state = nodes_.at(static_cast<std::size_t>(node));
+  if (!state.core || events.empty()) return;
   const wall_time wall{now_.time_since_epoch()};
-  auto commands = state.core->handle(std::move(event), now_, wall);
+  auto commands = state.core->handle_all(std::move(events), now_, wall);
   const auto life = state.life;
   for (auto& command : commands) {
     if (nodes_.at(static_cast<std::size_t>(node)).life == life) execute(node, std::move(command));
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -7,6 +7,7 @@
 //   fleet.submit(0, "job-1", spec);
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -107,8 +108,8 @@
     std::uint64_t life = 0;  // events of an earlier incarnation are dropped
     bool frozen = false;
     bool store_cut = false;
-    time_point link_free_at{};              // when all that was sent so far has left
-    std::vector<jobs::node_event> waiting;  // while frozen
+    time_point link_free_at{};             // when all that was sent so far has left
+    std::deque<jobs::node_event> waiting;  // while frozen
   };
   struct worker_state {
     fake_runner runner;
@@ -127,6 +128,8 @@
 
   void after(duration delay, std::function<void()> action);
   void deliver(int node, jobs::node_event event);
+  // Delivers events that the node finds together, as after a pause.
+  void deliver_all(int node, std::deque<jobs::node_event> events);
   void deliver_after(int node, duration delay, jobs::node_event event);
   void tick(int node, std::uint64_t life);
   void beat();
