--- a/coltsfoot/jobs/answer_time.h
+++ b/coltsfoot/jobs/answer_time.h
@@ -27,7 +27,7 @@
   // Notes a call that was answered after `taken`.
   void observe(duration taken) {
     // A single worker that is slow must not raise the timeouts of all others.
-    const auto sample = static_cast<double>(std::min(taken, 2 * timeout()).count());
+    const auto sample = static_cast<double>(std::min(taken, timeout()).count());
     const double error = sample - mean_ms_;
     mean_ms_ += error * mean_weight;
     deviation_ms_ += (std::abs(error) - deviation_ms_) * deviation_weight;
