--- a/coltsfoot/transport/http_client.cc
+++ b/coltsfoot/transport/http_client.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -29,6 +30,7 @@
   http_request request;
   http_client::callback done;
   http_client_options limits;
+  std::chrono::steady_clock::time_point queued_at;
   std::chrono::steady_clock::time_point deadline;
   std::string host;  // and port
   easy_handle handle;
@@ -37,6 +39,7 @@
   std::size_t header_bytes = 0;
   bool length_known = false;  // Content-Length or chunked
   int attempts = 0;           // times that libcurl was about to send the request
+  std::chrono::steady_clock::time_point progressed_at;  // when bytes of the answer came last
 };
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user) {
@@ -44,6 +47,7 @@
   const auto bytes = size * count;
   if (t.response.body.size() + bytes > t.limits.max_answer_bytes) return CURL_WRITEFUNC_ERROR;
   t.response.body.append(data, bytes);
+  t.progressed_at = std::chrono::steady_clock::now();
   return bytes;
 }
 
@@ -168,6 +172,32 @@
           .detail = std::move(detail)};
 }
 
+std::uint64_t number_of(CURL* handle, CURLINFO info) {
+  curl_off_t value = 0;
+  curl_easy_getinfo(handle, info, &value);
+  return static_cast<std::uint64_t>(value);
+}
+
+std::uint64_t long_of(CURL* handle, CURLINFO info) {
+  long value = 0;
+  curl_easy_getinfo(handle, info, &value);
+  return static_cast<std::uint64_t>(value);
+}
+
+http_traffic traffic_of(const transfer& t, CURLcode code) {
+  CURL* handle = t.handle.get();
+  const auto body_bytes = number_of(handle, CURLINFO_SIZE_UPLOAD_T);
+  // Includes the body if that was sent together with the head.
+  const auto request_bytes = long_of(handle, CURLINFO_REQUEST_SIZE);
+  const auto head_bytes = request_bytes >= body_bytes ? request_bytes - body_bytes : request_bytes;
+  return {.calls = 1,
+          .failures = code == CURLE_OK ? 0U : 1U,
+          .connections = long_of(handle, CURLINFO_NUM_CONNECTS),
+          .sent_bytes = head_bytes + body_bytes,
+          .received_bytes =
+              long_of(handle, CURLINFO_HEADER_SIZE) + number_of(handle, CURLINFO_SIZE_DOWNLOAD_T)};
+}
+
 http_result result_of(transfer& t, CURLcode code) {
   if (code != CURLE_OK) return tl::unexpected(failure(t, curl_easy_strerror(code)));
   long status = 0;
@@ -198,7 +228,8 @@
     t->request = std::move(request);
     t->done = std::move(done);
     t->limits = options_;
-    t->deadline = std::chrono::steady_clock::now() + t->request.timeout;
+    t->queued_at = std::chrono::steady_clock::now();
+    t->deadline = t->queued_at + t->request.timeout;
     std::unique_lock lock{mutex_};
     if (stopping_) {
       lock.unlock();
@@ -211,6 +242,13 @@
     if (was_empty) loop_.wake();
   }
 
+  http_traffic_by_kind traffic() const {
+    const std::scoped_lock lock{traffic_mutex_};
+    return traffic_;
+  }
+
+  duration take_longest_delay() { return duration{longest_delay_ms_.exchange(0)}; }
+
   void stop() {
     {
       const std::scoped_lock lock{mutex_};
@@ -234,15 +272,30 @@
       if (stopping) return end_all();
       constexpr duration longest_wait{1'000};
       constexpr duration longest_wait_with_queue{20};
-      loop_.run_once(queues_.waiting() == 0 ? longest_wait : longest_wait_with_queue);
+      loop_.run_once(
+          std::min(queues_.waiting() == 0 ? longest_wait : longest_wait_with_queue, until_stall()));
       collect();
+      end_stalled();
       for (auto& t : queues_.take_expired(std::chrono::steady_clock::now())) {
         t->done(tl::unexpected(failure(*t, "no connection in time")));
       }
     }
   }
 
+  void note_delay(const transfer& t) {
+    const auto delay = std::chrono::steady_clock::now() - t.queued_at;
+    const auto ms = std::chrono::duration_cast<duration>(delay).count();
+    if (ms > longest_delay_ms_) longest_delay_ms_ = ms;
+  }
+
+  void count(const transfer& t, CURLcode code) {
+    const auto traffic = traffic_of(t, code);
+    const std::scoped_lock lock{traffic_mutex_};
+    traffic_[t.request.kind] += traffic;
+  }
+
   void admit(std::unique_ptr<transfer> t) {
+    note_delay(*t);
     if (const auto fault = fault_of(t->request); !fault.empty()) {
       return t->done(tl::unexpected(failure(*t, fault)));
     }
@@ -256,6 +309,8 @@
     t->handle = unused_handle();
     prepare(*t);
     CURL* handle = t->handle.get();
+    t->progressed_at = std::chrono::steady_clock::now();
+    if (t->request.stall_timeout) watched_.insert(handle);
     open_.emplace(handle, std::move(t));
     loop_.add(handle);
   }
@@ -264,14 +319,45 @@
     while (const auto ended = loop_.next_ended()) {
       CURL* handle = ended->handle;
       const CURLcode code = ended->code;
-      auto t = std::move(open_.at(handle));
-      open_.erase(handle);
-      loop_.remove(handle);
-      auto result = result_of(*t, code);
-      keep_for_reuse(std::move(t->handle));
-      if (auto next = queues_.release(t->host)) begin(std::move(next));
-      t->done(std::move(result));
+      end(handle, code);
+    }
+  }
+
+  void end(CURL* handle, CURLcode code) {
+    auto t = std::move(open_.at(handle));
+    open_.erase(handle);
+    watched_.erase(handle);
+    loop_.remove(handle);
+    count(*t, code);
+    auto result = result_of(*t, code);
+    keep_for_reuse(std::move(t->handle));
+    if (auto next = queues_.release(t->host)) begin(std::move(next));
+    t->done(std::move(result));
+  }
+
+  std::chrono::steady_clock::time_point stall_time(CURL* handle) const {
+    const auto& t = *open_.at(handle);
+    return t.progressed_at + *t.request.stall_timeout;
+  }
+
+  // Time until the first of the watched requests would count as stalled.
+  duration until_stall() const {
+    duration left = duration::max();
+    const auto now = std::chrono::steady_clock::now();
+    for (CURL* handle : watched_) {
+      left = std::min(left, std::chrono::ceil<duration>(stall_time(handle) - now));
     }
+    return std::max(left, duration{0});
+  }
+
+  void end_stalled() {
+    std::vector<CURL*> stalled;
+    const auto now = std::chrono::steady_clock::now();
+    for (CURL* handle : watched_) {
+      if (now >= stall_time(handle)) stalled.push_back(handle);
+    }
+    // Removing an unfinished transfer closes its connection.
+    for (CURL* handle : stalled) end(handle, CURLE_OPERATION_TIMEDOUT);
   }
 
   // Making a handle costs more than resetting one.
@@ -305,8 +391,12 @@
   std::mutex mutex_;
   std::vector<std::unique_ptr<transfer>> queued_;
   bool stopping_ = false;
+  mutable std::mutex traffic_mutex_;
+  http_traffic_by_kind traffic_;
+  std::atomic<duration::rep> longest_delay_ms_ = 0;
   // Used by the thread only.
   std::unordered_map<CURL*, std::unique_ptr<transfer>> open_;
+  std::set<CURL*> watched_;  // open requests with a stall timeout
   std::vector<easy_handle> unused_;
   internal::host_queues<transfer> queues_;
   std::thread thread_;
@@ -317,10 +407,33 @@
 void http_client::send(http_request request, callback done) {
   impl_->send(std::move(request), std::move(done));
 }
+http_traffic_by_kind http_client::traffic() const {
+  return impl_->traffic();
+}
+duration http_client::take_longest_delay() {
+  return impl_->take_longest_delay();
+}
 void http_client::stop() {
   impl_->stop();
 }
 
+http_traffic& http_traffic::operator+=(const http_traffic& other) {
+  calls += other.calls;
+  failures += other.failures;
+  connections += other.connections;
+  sent_bytes += other.sent_bytes;
+  received_bytes += other.received_bytes;
+  return *this;
+}
+
+http_traffic operator-(const http_traffic& a, const http_traffic& b) {
+  return {.calls = a.calls - b.calls,
+          .failures = a.failures - b.failures,
+          .connections = a.connections - b.connections,
+          .sent_bytes = a.sent_bytes - b.sent_bytes,
+          .received_bytes = a.received_bytes - b.received_bytes};
+}
+
 std::string url_encode(std::string_view text) {
   static constexpr std::string_view digits = "0123456789ABCDEF";
   std::string out;
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -256,6 +256,20 @@
   EXPECT_EQ(fleet.owner(), second);
 }
 
+// A newer configuration may have the queue: the caller would believe that it does not exist.
+TEST(job_fleet_test,
+     a_node_that_cannot_read_the_configuration_says_of_no_queue_that_it_is_unknown) {
+  virtual_fleet fleet{{.nodes = 2, .seed = 17}};
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{10'000}));
+  fleet.run_for(duration{1'000});
+  const auto known = fleet.submit_to(0, "/other/job", two_steps(1));
+  EXPECT_EQ(fleet.answer_of(known)->verdict, jobs::caller_verdict::no_such_queue);
+  fleet.cut_store(0, true);
+  fleet.run_for(duration{4'000});
+  const auto cut = fleet.submit_to(0, "/other/job", two_steps(1));
+  EXPECT_EQ(fleet.answer_of(cut)->verdict, jobs::caller_verdict::unavailable);
+}
+
 TEST(job_fleet_test, a_compacted_history_is_read_again) {
   virtual_fleet fleet{{}};
   wait_until_settled(fleet);
@@ -394,6 +408,29 @@
   EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
 }
 
+// The request would name a shard that the node has not opened, and end the process; or the node
+// would say of a job in such a shard that it does not exist.
+TEST(job_fleet_test, a_node_that_finds_the_layout_and_requests_together_serves_them) {
+  virtual_fleet fleet{{.nodes = 3, .workers = 40, .seed = 41, .workers_per_shard = 10}};
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{20'000}));
+  constexpr int jobs = 12;
+  for (int i = 0; i < jobs; ++i) fleet.submit(0, "job-" + std::to_string(i), long_running_job(1));
+  fleet.run_for(duration{1'000});
+  fleet.kill_node(2);
+  fleet.start_node(2);
+  fleet.freeze_node(2, true);
+  fleet.run_for(duration{50});
+  std::vector<call_id> queries;
+  for (int i = 0; i < jobs; ++i) queries.push_back(fleet.query(2, "job-" + std::to_string(i)));
+  for (int i = 0; i < jobs; ++i) fleet.submit(2, "new-" + std::to_string(i), long_running_job(1));
+  ASSERT_NO_THROW(fleet.freeze_node(2, false));
+  fleet.run_for(duration{3'000});
+  for (const auto query : queries) {
+    ASSERT_NE(fleet.answer_of(query), nullptr);
+    EXPECT_NE(fleet.answer_of(query)->verdict, caller_verdict::no_such_job);
+  }
+}
+
 TEST(job_fleet_test, the_layout_survives_the_loss_of_all_nodes) {
   virtual_fleet fleet{four_shards(3)};
   wait_until_settled(fleet);
