--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -421,6 +421,7 @@
   fleet.freeze_node(2, true);
   fleet.run_for(duration{50});
   std::vector<call_id> queries;
+  queries.reserve(jobs);
   for (int i = 0; i < jobs; ++i) queries.push_back(fleet.query(2, "job-" + std::to_string(i)));
   for (int i = 0; i < jobs; ++i) fleet.submit(2, "new-" + std::to_string(i), long_running_job(1));
   ASSERT_NO_THROW(fleet.freeze_node(2, false));
