--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -176,8 +176,7 @@
     service_id service;
     bool fill = false;
     bool restart = false;
-    bool keeps_room = false;  // it had to leave room for short tasks
-    std::string image;        // of a filling task
+    std::string image;  // of a filling task
     resources demand;
   };
 
@@ -233,8 +232,7 @@
   void place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
   void place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
   void assign(job& j, task_index index, worker_link& link, run_number run, time_point now);
-  placement_request request_for(const job& j, std::uint32_t occurrence, std::uint32_t step,
-                                time_point now) const;
+  placement_request request_for(const job& j, std::uint32_t occurrence, std::uint32_t step) const;
   bool occurrence_due(const job& j, std::uint32_t occurrence) const;
 
   // Workers.
@@ -293,11 +291,10 @@
   std::size_t judged_ = 0;                      // jobs and workers, in the present placing pass
   time_point next_place_{};                     // when the next placing pass may begin
   worker_id last_tended_;
-  std::vector<failed_demand> failed_demands_;       // of the present placing pass
-  std::optional<time_point> short_task_waited_at_;  // when one found no processors last
-  std::size_t starts_left_ = 0;  // that the present placing pass may still decide
-  std::set<job_id> cancelling_;  // cancelled jobs with runs that have not ended
-  std::set<job_id> scheduled_;   // jobs with occurrences that are not due yet
+  std::vector<failed_demand> failed_demands_;  // of the present placing pass
+  std::size_t starts_left_ = 0;                // that the present placing pass may still decide
+  std::set<job_id> cancelling_;                // cancelled jobs with runs that have not ended
+  std::set<job_id> scheduled_;                 // jobs with occurrences that are not due yet
 
   std::set<job_id> dirty_;                         // progress to be recorded
   std::set<job_id> new_copies_;                    // partial copies to be recorded
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -18,18 +18,10 @@
 // share of the processor that placing takes while no room is left for many waiting jobs.
 constexpr std::size_t judged_per_ms = 200;
 
-// Long-running tasks keep more room for this long after a short task has found none.
-constexpr duration short_wait_memory{3'000};
-
 // A job that waits this long with a long-running task leaves a log line, once a second.
 constexpr duration long_wait{2'000};
 constexpr std::size_t most_wait_lines = 4;
 
-// Whether the task must leave room for short ones.
-bool keeps_room(const placement_request& request) {
-  return request.step->long_running && !request.restart;
-}
-
 }  // namespace
 
 void job_owner::place(time_point now, wall_time wall) {
@@ -106,7 +98,7 @@
   const auto tasks = std::count_if(first, last, waits);
   if (tasks == 0) return false;
   const auto task = std::find_if(first, last, waits);
-  auto request = request_for(j, 0, step, now);
+  auto request = request_for(j, 0, step);
   request.restart = task->run > 0;
   std::map<std::string_view, std::size_t> workers;  // by obstacle
   for (const auto& [worker, link] : links_) {
@@ -146,10 +138,8 @@
   const auto& step = *request.step;
   const auto& image = step.fill ? step.image : std::string{};
   return std::any_of(failed_demands_.begin(), failed_demands_.end(), [&](const auto& failed) {
-    const bool tells = !failed.keeps_room || keeps_room(request);
-    return tells && failed.service == request.service && failed.fill == step.fill &&
-           failed.image == image && (failed.restart || !request.restart) &&
-           failed.demand.fits_in(step.demand);
+    return failed.service == request.service && failed.fill == step.fill && failed.image == image &&
+           (failed.restart || !request.restart) && failed.demand.fits_in(step.demand);
   });
 }
 
@@ -169,17 +159,14 @@
   failed_demands_.push_back({.service = request.service,
                              .fill = step.fill,
                              .restart = request.restart,
-                             .keeps_room = keeps_room(request),
                              .image = step.fill ? step.image : std::string{},
                              .demand = step.demand});
 }
 
-placement_request job_owner::request_for(const job& j, std::uint32_t occurrence, std::uint32_t step,
-                                         time_point now) const {
+placement_request job_owner::request_for(const job& j, std::uint32_t occurrence,
+                                         std::uint32_t step) const {
   const auto& spec = j.accepted.spec.steps[step];
   placement_request request{.step = &spec, .service = j.accepted.service};
-  request.short_tasks_wait =
-      short_task_waited_at_ && now - *short_task_waited_at_ < short_wait_memory;
   if (spec.max_per_worker == 0 && !spec.tightly_coupled) return request;
   const auto first = j.index_of({.occurrence = occurrence, .step = step});
   for (auto i = first; i < first + spec.count; ++i) {
@@ -198,7 +185,7 @@
   const auto first = j.index_of({.occurrence = occurrence, .step = step});
   const auto last = first + j.accepted.spec.steps[step].count;
   const auto& spec = j.accepted.spec.steps[step];
-  auto request = request_for(j, occurrence, step, now);
+  auto request = request_for(j, occurrence, step);
   std::optional<worker_ranking> ranking;
   bool ranked = false;          // for the request as it is
   bool placed_starved = false;  // one run is enough: the others wait for room
@@ -217,10 +204,7 @@
       ranking.emplace(request, links_, model_, now);
     }
     auto* link = ranking ? ranking->best() : nullptr;
-    if (link == nullptr) {
-      if (!spec.fill && !spec.long_running) short_task_waited_at_ = now;
-      continue;
-    }
+    if (link == nullptr) continue;
     placed_starved = true;
     assign(j, i, *link, j.tasks[i].run + 1, now);
     --starts_left_;
@@ -243,7 +227,7 @@
     if (j.tasks[i].phase != task_phase::waiting) return;  // the former runs still end
     run = std::max(run, j.tasks[i].run + 1);
   }
-  auto request = request_for(j, occurrence, step, now);
+  auto request = request_for(j, occurrence, step);
   std::vector<std::pair<worker_link*, task_index>> chosen;
   std::optional<worker_ranking> ranking;
   rank_workers(request, now, ranking);
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -11,10 +11,8 @@
 // The least headroom that a filling task may be expected to leave to serving ones.
 constexpr double least_expected_headroom = 1.35;
 
-// Share of a worker's processors that long-running tasks leave to short ones, and the share while
-// short ones wait. A tenth on each worker is no room for a task that needs a fifth.
+// Share of a worker's processors that long-running tasks leave to short ones.
 constexpr int kept_for_short_percent = 10;
-constexpr int kept_for_waiting_percent = 34;
 
 // A filling task shows in the reports of its worker after this time.
 constexpr duration shows_after{1'200};
@@ -81,8 +79,7 @@
   }
   if (needed.millicores > free.millicores) return placing_obstacle::processors;
   if (step.long_running) {
-    if (request.restart ||
-        leaves_room_for_short(step, link.listing->capacity, free, request.short_tasks_wait)) {
+    if (request.restart || leaves_room_for_short(step, link.listing->capacity, free)) {
       return std::nullopt;
     }
     return placing_obstacle::kept_room;
@@ -112,10 +109,9 @@
 
 }  // namespace
 
-bool leaves_room_for_short(const step_spec& step, const resources& capacity, const resources& free,
-                           bool short_tasks_wait) {
-  const auto percent = short_tasks_wait ? kept_for_waiting_percent : kept_for_short_percent;
-  const auto kept = capacity.millicores * percent / 100;
+bool leaves_room_for_short(const step_spec& step, const resources& capacity,
+                           const resources& free) {
+  const auto kept = capacity.millicores * kept_for_short_percent / 100;
   const auto left = free.millicores - step.demand.millicores;
   return left >= std::min(kept, step.demand.millicores);
 }
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -37,14 +37,12 @@
   // disturbs least, however slow it must work there.
   bool starved = false;
   bool restart = false;  // the task has run before: it may use room that is kept for others
-  bool short_tasks_wait = false;  // lately, for processors: more room is kept for them
 };
 
 // Whether a long-running task leaves enough of a worker's free room to short ones, since it never
-// gives back its room in time for them. It leaves more while short tasks wait, but need not leave
-// more than would let another task of its size wait.
-bool leaves_room_for_short(const step_spec& step, const resources& capacity, const resources& free,
-                           bool short_tasks_wait);
+// gives back its room in time for them. It need not leave more than would let another task of its
+// size wait.
+bool leaves_room_for_short(const step_spec& step, const resources& capacity, const resources& free);
 
 // Why a task of the request can't be placed on the worker; nothing if it can.
 std::optional<placing_obstacle> obstacle_to(const placement_request& request,
--- a/coltsfoot/jobs/shard_rooms.cc
+++ b/coltsfoot/jobs/shard_rooms.cc
@@ -74,10 +74,7 @@
       step.required_label.empty() || worker.listing->has_label(step.required_label);
   const auto free = free_for(need, worker);
   if (!labelled || !step.demand.fits_in(free)) return false;
-  // Whether short tasks wait there is not known here; a task that were refused would go round.
-  constexpr bool short_tasks_wait = true;
-  return need.has_run ||
-         leaves_room_for_short(step, worker.listing->capacity, free, short_tasks_wait);
+  return need.has_run || leaves_room_for_short(step, worker.listing->capacity, free);
 }
 
 }  // namespace coltsfoot::jobs
