Log what an owner does about a cancellation

The logs could not tell whether the owner knew of the cancellation, whether its stops were answered, or whether one had no effect: an owner logged none of this.

Volume: one line for each cancellation, and one for each stop that fails.

--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -8,6 +8,15 @@
 #include "coltsfoot/base/log_text.h"
 
 namespace coltsfoot::jobs {
+namespace {
+
+// Number of the job's tasks that a worker runs or has been told to run.
+auto assigned_tasks(const job& j) {
+  return std::count_if(j.tasks.begin(), j.tasks.end(),
+                       [](const auto& task) { return task.phase == task_phase::assigned; });
+}
+
+}  // namespace
 
 job_owner_stats& job_owner_stats::operator+=(const job_owner_stats& other) {
   starts += other.starts;
@@ -79,7 +88,8 @@
     refresh_waiting(j, now);
   }
   log(severity::info,
-      fmt::format("event=jobs_taken_over fence={} open_jobs={} runs={}", fence_, open, runs));
+      fmt::format("event=jobs_taken_over fence={} open_jobs={} runs={} cancelling={}", fence_, open,
+                  runs, cancelling_.size()));
 }
 
 void job_owner::mark_changed(const job& j) {
@@ -128,7 +138,11 @@
 void job_owner::on_cancelled(const job_id& id, time_point now) {
   auto* j = table_.find(id);
   if (j == nullptr || j->ended()) return;
-  cancelling_.insert(id);
+  if (cancelling_.insert(id).second) {
+    log(severity::info,
+        fmt::format("event=cancellation_taken job={} runs={} age_ms={}", log_value(id.value),
+                    assigned_tasks(*j), (wall_ - j->accepted.accepted_at).count()));
+  }
   refresh_waiting(*j, now);
   stop_runs_of(id, now);
   settle_cancelled(*j, now);
@@ -146,10 +160,7 @@
 
 void job_owner::settle_cancelled(job& j, time_point now) {
   if (j.ended() || !j.cancel_requested) return;
-  const bool running = std::any_of(j.tasks.begin(), j.tasks.end(), [](const auto& task) {
-    return task.phase == task_phase::assigned;
-  });
-  if (!running) finish(j, job_outcome::cancelled, now);
+  if (assigned_tasks(j) == 0) finish(j, job_outcome::cancelled, now);
 }
 
 void job_owner::finish(job& j, job_outcome outcome, time_point now) {
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -229,9 +229,12 @@
   if (run == nullptr || !run->stop_wanted) return;
   if (answer.verdict == order_verdict::accepted) {
     run->stop_answered = now;
-  } else if (answer.verdict != order_verdict::unanswered) {
-    run->next_try = now + options_.order_retry;
+    return;
   }
+  log(severity::info,
+      fmt::format("event=stop_not_accepted {} worker={} verdict={} tries={}", log_text(ref),
+                  log_value(life.worker.value), name_of(answer.verdict), run->tries));
+  if (answer.verdict != order_verdict::unanswered) run->next_try = now + options_.order_retry;
 }
 
 void job_owner::pace_runs(worker_link& link, time_point now) {
