Repeat stops in time, also of a run that is listed after one was answered

This is one way in which it can happen; that it is what the users saw is not shown.

Cause: a stop without an answer was repeated after gaps that double and follow the owner's answer times and the delays of its own threads: by default after 0.55, 1.65 and 3.85 s, so that three lost stops are too many, and after 1.65 and 4.95 s while answers are slow. A stop that was answered was never repeated, although a later report still listed the run.

Change: stops are repeated after 0.8 s at the latest, and a run that is listed by a look that was sent after the answer is stopped again, with a log line.

Tests, failing before: a_cancelled_run_is_stopped_in_time_though_three_stops_ get_no_answer (3 stops in 3 s), ..._while_answers_are_slow (2 stops), a_run_that_is_listed_after_its_stop_was_answered_is_stopped_again (none).

--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -16,6 +16,10 @@
 // The time between two tries of an order doubles up to this many times.
 constexpr std::uint32_t most_doublings = 2;
 
+// The longest time between two stops of a run, however late answers are. A run that is not stopped
+// goes on, so a few stops that get no answer must not take longer than a cancellation may.
+constexpr duration longest_stop_gap{800};
+
 }  // namespace
 
 void job_owner::send_start(worker_link& link, const task_key& key, placed_run& run,
@@ -134,7 +138,7 @@
     const bool repeats = run.phase == start_phase::sent && link.failed_looks == 0;
     if (repeats && !run.stop_wanted) repeat_start(link, key, run, now);
     if (!run.stop_wanted || now < run.next_try) continue;
-    run.next_try = now + next_gap(run);
+    run.next_try = now + std::min(next_gap(run), longest_stop_gap);
     // The job's steps are known as long as the job is, also after its end.
     const auto* j = table_.find(key.job);
     if (j != nullptr) send_stop(link, {.task = j->ref_of(key.index), .run = run.run});
--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -60,6 +60,17 @@
     owner_->on_batch_recorded(now_);
   }
 
+  // The job's task runs on the worker, which has confirmed it.
+  void start_first_run() {
+    answer_look(1, 1, {});
+    owner_->place(now_, wall_);
+    record();
+    owner_->on_start_answer({.worker = worker, .incarnation = 1}, first_run_,
+                            {.verdict = order_verdict::accepted, .clock = 1'000}, now_);
+    owner_->take_orders();
+    table_.request_cancel(job_name);
+  }
+
   const run_ref first_run_{.task = {.job = job_name}, .run = 1};
   time_point now_{duration{100'000}};
   wall_time wall_{duration{100'000}};
@@ -405,6 +416,43 @@
   EXPECT_EQ(table_.find(id)->handovers.at(1).number, 2U);
 }
 
+// A run goes on for as long as no stop reaches its worker.
+TEST_F(job_owner_test, a_cancelled_run_is_stopped_in_time_though_three_stops_get_no_answer) {
+  start_first_run();
+  owner_->on_cancelled(job_name, now_);
+  std::vector<duration> stops;
+  for (const auto cancelled_at = now_; now_ - cancelled_at < duration{3'000};) {
+    if (newest<stop_order>()) stops.push_back(now_ - cancelled_at);
+    pass(duration{25});
+  }
+  EXPECT_GE(stops.size(), 4U);
+}
+
+// The time between two stops must not follow the delays of the owner's own threads without a bound.
+TEST_F(job_owner_test, a_cancelled_run_is_stopped_in_time_while_answers_are_slow) {
+  start_first_run();
+  owner_->on_cancelled(job_name, now_);
+  std::size_t stops = 0;
+  for (const auto cancelled_at = now_; now_ - cancelled_at < duration{3'000};) {
+    if (newest<stop_order>()) ++stops;
+    now_ += duration{25};
+    owner_->tick(now_, wall_, duration{1'500});
+  }
+  EXPECT_GE(stops, 3U);
+}
+
+TEST_F(job_owner_test, a_run_that_is_listed_after_its_stop_was_answered_is_stopped_again) {
+  start_first_run();
+  owner_->on_cancelled(job_name, now_);
+  ASSERT_TRUE(newest<stop_order>());
+  owner_->on_stop_answer({.worker = worker, .incarnation = 1}, first_run_,
+                         {.verdict = order_verdict::accepted, .clock = 1'000}, now_);
+  pass(duration{500});
+  answer_look(1, 1, {{.run = first_run_}});
+  pass(duration{25});
+  EXPECT_TRUE(newest<stop_order>());
+}
+
 // However often it was handed over: the room that it waits for may be there for 3 s.
 TEST_F(job_owner_test, a_task_that_was_handed_over_often_goes_on_within_two_seconds) {
   const job_id id{"visitor"};
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -407,7 +407,8 @@
   if (!observed.empty()) link.tails_at = now;
 }
 
-// Runs that a look should have listed and did not.
+// Runs that a look should have listed and did not, and runs that it should not have listed any
+// more.
 void job_owner::settle_missing(worker_link& link, const std::set<run_ref>& listed,
                                time_point sent_at, time_point now) {
   std::vector<task_key> lost;
@@ -417,8 +418,17 @@
       lost.push_back(key);
       continue;
     }
-    if (listed.contains({.task = j->ref_of(key.index), .run = run.run})) continue;
+    const run_ref ref{.task = j->ref_of(key.index), .run = run.run};
     const bool stopped = run.stop_answered && sent_at > *run.stop_answered + options_.stop_settle;
+    if (listed.contains(ref)) {
+      if (!stopped) continue;
+      log(severity::warning, fmt::format("event=stop_without_effect {} worker={}", log_text(ref),
+                                         log_value(link.life.worker.value)));
+      run.stop_answered.reset();
+      run.tries = 0;
+      run.next_try = now;
+      continue;
+    }
     const bool vanished =
         run.phase == start_phase::confirmed && !run.stop_wanted && sent_at > run.confirmed_at;
     if (stopped || vanished) lost.push_back(key);
