Say that a job to be cancelled does not exist only once that is known

For a caller, a 410 is an acknowledgement.

Class: acting on knowledge that may have run out.

What the read shows decides: the job is cancelled, or does not exist.

Ruled out: an early cancellation record for unknown jobs.

The job of the users' record was 52 s old, so that this is not shown to be what they saw.

--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -40,6 +40,7 @@
   }
   if (!ended_) {
     open_shards();
+    settle_unproved_cancels();
     count_owned_shards();
     extend_layout();
     balance_shards();
@@ -308,6 +309,7 @@
   for (const auto& [call, query] : std::exchange(peer_queries_, {})) {
     answer_state(query.caller, query.job);
   }
+  for (const auto& [call, waiting] : std::exchange(unproved_cancels_, {})) refuse_cancel(call);
 }
 
 void job_node::update_ready() {
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -44,6 +44,12 @@
     call_id caller = 0;
     job_id job;
   };
+  // The cancellation of a job that this node doesn't know.
+  struct unproved_cancel {
+    caller_request request;
+    job_id job;
+    time_point arrived{};
+  };
   // Where a job is.
   struct found_job {
     job_shard* shard = nullptr;
@@ -65,6 +71,11 @@
   // Callers.
   void submit(const caller_request& request, const queue_config& queue, const job_id& id);
   void cancel(const caller_request& request, const job_id& id);
+  void cancel_unknown(const caller_request& request, const job_id& id);
+  // Answers the cancellations of unknown jobs for which the journals have been read since.
+  void settle_unproved_cancels();
+  // Answers a caller whose cancellation was not recorded.
+  void refuse_cancel(call_id call);
   void query(const caller_request& request, const job_id& id);
   void answer_state(call_id call, const job_id& id);
   std::size_t pending(const queue_id& queue) const;
@@ -73,6 +84,8 @@
   bool journals_are_read() const;
   // Whether the copies of all shards are new enough to prove that a job is not there.
   bool journals_are_fresh() const;
+  // Whether the copies of all shards have every record that was made before `time`.
+  bool journals_include(time_point time) const;
   // Whether the configuration is new enough to prove that a queue is not there.
   bool configuration_is_fresh() const;
 
@@ -129,6 +142,7 @@
   time_point first_owned_since_{};  // of the first shard
 
   std::map<call_id, peer_query> peer_queries_;
+  std::map<call_id, unproved_cancel> unproved_cancels_;  // by the caller's call
   std::optional<time_point> shutdown_at_;
   bool ended_ = false;
   bool ready_ = false;
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -90,6 +90,11 @@
                      [](const auto& shard) { return shard->is_fresh(); });
 }
 
+bool job_node::journals_include(time_point time) const {
+  return std::all_of(shards_.begin(), shards_.end(),
+                     [time](const auto& shard) { return shard->includes(time); });
+}
+
 bool job_node::configuration_is_fresh() const {
   const auto read_at = configuration_.last_success();
   return configuration_.caught_up() && read_at &&
@@ -121,18 +126,44 @@
 
 void job_node::cancel(const caller_request& request, const job_id& id) {
   const auto found = find(id);
-  if (found.shard == nullptr) {
-    const auto verdict =
-        journals_are_fresh() ? caller_verdict::no_such_job : caller_verdict::gone_wrong;
-    return context_.answer(request.call,
-                           {.verdict = verdict, .retry_after = context_.options.retry_after});
-  }
+  if (found.shard == nullptr) return cancel_unknown(request, id);
   if (found.record->ended() || found.record->cancel_requested) {
     return context_.answer(request.call, {.verdict = caller_verdict::cancelled});
   }
   found.shard->append_for_caller(request, cancellation_record(id), caller_verdict::cancelled);
 }
 
+// Another node may just have accepted the job. That it doesn't exist is shown by a read of the
+// journals that was sent after the call had arrived.
+void job_node::cancel_unknown(const caller_request& request, const job_id& id) {
+  if (!journals_are_fresh() || context_.refuses_waiting) return refuse_cancel(request.call);
+  unproved_cancels_.emplace(
+      request.call, unproved_cancel{.request = request, .job = id, .arrived = context_.now});
+}
+
+void job_node::settle_unproved_cancels() {
+  for (auto& [call, waiting] : std::exchange(unproved_cancels_, {})) {
+    const auto time_left = waiting.request.time_left - (context_.now - waiting.arrived);
+    if (find(waiting.job).shard != nullptr) {
+      waiting.request.time_left = time_left;
+      cancel(waiting.request, waiting.job);
+    } else if (journals_include(waiting.arrived)) {
+      context_.answer(call, {.verdict = caller_verdict::no_such_job});
+    } else if (time_left <= context_.options.answer_margin || !journals_are_fresh() ||
+               context_.refuses_waiting) {
+      refuse_cancel(call);
+    } else {
+      unproved_cancels_.emplace(call, std::move(waiting));
+    }
+  }
+}
+
+void job_node::refuse_cancel(call_id call) {
+  context_.answer(call, {.verdict = caller_verdict::gone_wrong,
+                         .retry_after = context_.options.retry_after,
+                         .detail = "the journal can't be read"});
+}
+
 void job_node::query(const caller_request& request, const job_id& id) {
   auto found = find(id);
   const bool final_state =
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -83,6 +83,10 @@
          context_.now - *journal_.last_success() < context_.options.fresh;
 }
 
+bool job_shard::includes(time_point time) const {
+  return journal_.complete_until() && *journal_.complete_until() > time;
+}
+
 bool job_shard::has_other_owner() const {
   const auto& claim = state_.claim;
   return !owner_ && claim.fence != 0 && !claim.resigned && claim.node != context_.options.node;
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -63,6 +63,8 @@
   bool caught_up() const { return journal_.caught_up(); }
   // Whether the copy is new enough to prove that a job is not there.
   bool is_fresh() const;
+  // Whether the copy has every record that was made before `time`.
+  bool includes(time_point time) const;
   // Whether another node owns the shard, as far as is known.
   bool has_other_owner() const;
   // What callers are shown of a job.
--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -14,9 +14,6 @@
 // journal.
 constexpr duration notice_timeout{500};
 
-// Time kept back from a caller's deadline for the answer's way.
-constexpr duration answer_margin{100};
-
 // The store may execute an append that it has not answered this much later.
 constexpr duration late_append_time{10'000};
 
@@ -29,7 +26,8 @@
 
 void job_shard::append_for_caller(const caller_request& request, keyed_record record,
                                   caller_verdict verdict) {
-  const auto deadline = context_.now + std::max(request.time_left - answer_margin, duration{0});
+  const auto deadline =
+      context_.now + std::max(request.time_left - context_.options.answer_margin, duration{0});
   const auto open = caller_appends_.find(record.key);
   if (open != caller_appends_.end()) {
     open->second.give_up = std::min(open->second.give_up, deadline);
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -52,6 +52,7 @@
   duration store_silence{2'500};  // without the store for this long, a node is not ready
   duration pause_limit{1'000};    // a pause in which a successor may have taken over
   duration retry_after{1'000};    // told to callers
+  duration answer_margin{100};    // kept back from a caller's deadline for the answer's way
   // From the shutdown's start to the end of the node, which comes earlier if nothing is open.
   duration drain_time{4'000};
   // The last part of `drain_time`: new requests that would have to wait for the store are refused.
--- a/coltsfoot/jobs/topic_follower.cc
+++ b/coltsfoot/jobs/topic_follower.cc
@@ -10,6 +10,7 @@
   reading_ = true;
   due_ = now + options_.poll_interval;
   if (!listed_) return list_request{.after = list_after_, .patience = list_patience_};
+  tail_sent_ = now;
   const auto wait = caught_up_ ? options_.poll_wait : duration{0};
   return tail_request{.from = position_, .wait = wait};
 }
@@ -37,7 +38,11 @@
   succeeded(now);
   position_ = page.next;
   caught_up_ = page.next >= page.end;
-  if (!caught_up_) due_ = now;
+  if (caught_up_) {
+    complete_until_ = tail_sent_;
+  } else {
+    due_ = now;
+  }
   if (page.records.empty()) return std::nullopt;
   return topic_change{.records = std::move(page.records)};
 }
@@ -61,6 +66,7 @@
   stale_ = reading_;
   listed_ = false;
   caught_up_ = false;
+  complete_until_.reset();
   listing_started_ = false;
   list_after_.clear();
   listing_.clear();
--- a/coltsfoot/jobs/topic_follower.h
+++ b/coltsfoot/jobs/topic_follower.h
@@ -82,6 +82,9 @@
 
   // Whether a read has reached the end of the topic since the start or the last listing.
   bool caught_up() const { return caught_up_; }
+  // All that was recorded before this time has been read. Nothing until a read has reached the end
+  // of the topic since the start or the last listing.
+  std::optional<time_point> complete_until() const { return complete_until_; }
   // Offset that the next read starts from; only meaningful after a listing.
   log_offset position() const { return position_; }
   // Time of the last read that succeeded, and of the first of the unbroken series it belongs to.
@@ -102,6 +105,8 @@
   bool listing_started_ = false;
   std::string list_after_;
   std::vector<keyed_record> listing_;
+  time_point tail_sent_{};  // when the newest read of the tail was sent
+  std::optional<time_point> complete_until_;
   log_offset position_ = 0;
   time_point due_{};
   duration backoff_{0};
--- a/coltsfoot/jobs/topic_follower_test.cc
+++ b/coltsfoot/jobs/topic_follower_test.cc
@@ -32,6 +32,21 @@
   EXPECT_EQ(tail_of(follower.next_request(start)).from, 7U);
 }
 
+TEST(topic_follower_test, is_complete_until_the_read_that_reached_the_end_was_sent) {
+  topic_follower follower{{}};
+  follower.next_request(start);
+  follower.on_page(list_page{.end = 3}, start);
+  follower.next_request(start + duration{10});
+  follower.on_page(tail_page{.next = 5, .end = 6}, start + duration{20});
+  EXPECT_FALSE(follower.complete_until());
+  follower.next_request(start + duration{20});
+  follower.on_page(tail_page{.next = 6, .end = 6}, start + duration{400});
+  EXPECT_EQ(follower.complete_until(), start + duration{20})
+      << "an answer may be on its way for long";
+  follower.restart();
+  EXPECT_FALSE(follower.complete_until());
+}
+
 TEST(topic_follower_test, is_caught_up_when_a_read_reaches_the_end) {
   topic_follower follower{{}};
   follower.next_request(start);
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -220,6 +220,37 @@
   EXPECT_TRUE(fleet.broken().empty());
 }
 
+// A copy that is a quarter of a second old does not show a job that was accepted since.
+TEST(job_fleet_test, a_job_accepted_by_another_node_just_before_its_cancellation_does_not_run_on) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    virtual_fleet fleet{{.seed = seed}};
+    wait_until_settled(fleet);
+    // With records to read all the time, a node reads the journal each quarter of a second.
+    for (std::uint64_t i = 0; i < 20 + seed; ++i) {
+      fleet.submit(0, "other-" + std::to_string(i), two_steps(1));
+      fleet.run_for(duration{13});
+    }
+    const auto submitted = fleet.submit(0, "j", long_running_job(2));
+    ASSERT_TRUE(
+        fleet.run_until([&] { return fleet.answer_of(submitted) != nullptr; }, duration{1'000}));
+    ASSERT_EQ(fleet.answer_of(submitted)->verdict, caller_verdict::accepted);
+    const auto cancelled = fleet.cancel(1, "j");
+    ASSERT_TRUE(
+        fleet.run_until([&] { return fleet.answer_of(cancelled) != nullptr; }, duration{3'000}));
+    EXPECT_EQ(fleet.answer_of(cancelled)->verdict, caller_verdict::cancelled) << "seed " << seed;
+    fleet.run_for(duration{3'200});
+    EXPECT_EQ(fleet.running("j"), 0U) << "seed " << seed;
+  }
+}
+
+TEST(job_fleet_test, the_cancellation_of_an_unknown_job_is_answered_in_time) {
+  virtual_fleet fleet{{}};
+  wait_until_settled(fleet);
+  const auto call = fleet.cancel(1, "nobody's");
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.answer_of(call) != nullptr; }, duration{1'500}));
+  EXPECT_EQ(fleet.answer_of(call)->verdict, caller_verdict::no_such_job);
+}
+
 TEST(job_fleet_test, a_store_that_is_down_refuses_jobs_at_once_and_stops_nothing) {
   virtual_fleet fleet{{}};
   wait_until_settled(fleet);
