--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -127,7 +127,9 @@
 void job_node::cancel(const caller_request& request, const job_id& id) {
   const auto found = find(id);
   if (found.shard == nullptr) return cancel_unknown(request, id);
-  if (found.record->ended() || found.record->cancel_requested) {
+  // An end that is not in the journal may be unknown to the next owner, which would go on.
+  const auto state = found.shard->shown_state(*found.record);
+  if (state != job_state::queued && state != job_state::running) {
     return context_.answer(request.call, {.verdict = caller_verdict::cancelled});
   }
   found.shard->append_for_caller(request, cancellation_record(id), caller_verdict::cancelled);
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -243,6 +243,33 @@
   }
 }
 
+// The successor knows neither of the end nor of the cancellation.
+TEST(job_fleet_test, a_cancellation_that_an_owner_confirmed_before_it_recorded_the_end_holds) {
+  virtual_fleet fleet{{}};
+  wait_until_settled(fleet);
+  fleet.set_append_time(duration{300});
+  fleet.run_for(duration{1'000});
+  const int owner = fleet.owner();
+  ASSERT_GE(owner, 0);
+  const jobs::job_id id{"j"};
+  fleet.submit(owner, id.value, {.payload = "p", .steps = {step(1, duration{500})}});
+  const auto has_unrecorded_end = [&] {
+    const auto& shard = *fleet.node(owner).shards().front();
+    const auto* job = shard.table().find(id);
+    return job != nullptr && job->ended() && !shard.owner()->is_recorded(id);
+  };
+  for (int ms = 0; ms < 5'000 && !has_unrecorded_end(); ++ms) fleet.run_for(duration{1});
+  ASSERT_TRUE(has_unrecorded_end());
+  const auto call = fleet.cancel(owner, id.value);
+  fleet.run_for(duration{1});
+  const auto* answer = fleet.answer_of(call);
+  const bool confirmed = answer != nullptr && answer->verdict == caller_verdict::cancelled;
+  fleet.kill_node(owner);
+  for (int worker = 0; worker < 4; ++worker) fleet.restart_worker(worker);
+  fleet.run_for(duration{6'000});
+  EXPECT_FALSE(confirmed && fleet.starts() > 1) << "started again after the cancellation";
+}
+
 TEST(job_fleet_test, the_cancellation_of_an_unknown_job_is_answered_in_time) {
   virtual_fleet fleet{{}};
   wait_until_settled(fleet);
