Check that tasks of cancelled jobs do not run on, through repeated faults

Change: each running task of a job whose cancellation was acknowledged, with a 410 for an accepted job too, has to be gone within 3.2 s of calm. A series of 20 seeds cancels jobs at any node, half of them as soon as they are accepted, while nodes and workers fail, a tenth of the answers is lost and orders are carried out late.

--- a/tests/jobs/absence_watch.h
+++ b/tests/jobs/absence_watch.h
@@ -38,6 +38,7 @@
 
   // Records that a component failed or recovered at `now`.
   void on_trouble(time_point now) { last_trouble_ = now; }
+  time_point last_trouble() const { return last_trouble_; }
   // `free` is the free capacity of each usable worker. Absences of tasks that are not in `tasks`
   // are dropped.
   void observe(const std::vector<resources>& free, const std::vector<watched_task>& tasks,
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -426,6 +426,44 @@
   }
 }
 
+// Jobs are cancelled at any node, some as soon as they are accepted, while nodes and workers fail.
+TEST(job_fleet_test, no_task_of_a_cancelled_job_runs_on_through_repeated_faults) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    virtual_fleet fleet{{.nodes = 4,
+                         .workers = 6,
+                         .seed = seed,
+                         .lost_answers = 0.1,
+                         .late_orders = 0.03,
+                         .lost_append_answers = 0.03,
+                         .failing_tasks = 0.02,
+                         .max_attempts = 6}};
+    random_engine random{seed};
+    wait_until_settled(fleet);
+    for (int round = 0; round < 20; ++round) {
+      const std::string id = "j" + std::to_string(round);
+      fleet.submit(static_cast<int>(random() % 4), id,
+                   random() % 2 == 0 ? long_running_job(3) : two_steps(4));
+      fleet.run_for(duration{static_cast<int>(random() % 2 == 0 ? 12 : random() % 1'000)});
+      fleet.cancel(static_cast<int>(random() % 4), id);
+      const int node = fleet.owner() >= 0 ? fleet.owner() : static_cast<int>(random() % 4);
+      const int worker = static_cast<int>(random() % 6);
+      const auto fault = random() % 8;
+      if (fault == 0) fleet.kill_node(node);
+      if (fault == 1) fleet.freeze_node(node, true);
+      if (fault == 2) fleet.cut_store(node, true);
+      if (fault == 3) fleet.set_worker_reachable(worker, false);
+      if (fault == 4) fleet.compact_store();
+      fleet.run_for(duration{static_cast<int>(100 + random() % 1'500)});
+      if (fault == 0) fleet.start_node(node);
+      if (fault == 1) fleet.freeze_node(node, false);
+      if (fault == 2) fleet.cut_store(node, false);
+      if (fault == 3) fleet.set_worker_reachable(worker, true);
+    }
+    fleet.run_for(duration{12'000});
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
 // Sixteen workers in racks of two, four workers a shard.
 fleet_options four_shards(std::uint64_t seed) {
   return {.nodes = 6, .workers = 16, .seed = seed, .workers_per_shard = 4};
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -370,9 +370,25 @@
     }
   }
   absences_.observe(free, tasks, now_);
+  check_cancellations();
   after(absence_interval, [this] { check_absences(); });
 }
 
+void virtual_fleet::check_cancellations() {
+  constexpr duration stop_bound{3'200};
+  constexpr duration calm_before{3'000};
+  for (const auto& worker : workers_) {
+    for (const auto& [task, run] : worker.runner.runs()) {
+      const auto cancelled = cancelled_.find(task.job.value);
+      if (cancelled == cancelled_.end()) continue;
+      const auto calm_since = absences_.last_trouble() + calm_before;
+      // A start may be executed seconds after it was sent.
+      const auto since = std::max({cancelled->second, calm_since, run.began});
+      if (now_ > since + stop_bound) violations_.insert("UNASKED runs on " + task.job.value);
+    }
+  }
+}
+
 // --- Callers ---
 
 call_id virtual_fleet::ask(int node, const std::string& id, jobs::caller_action action,
@@ -455,7 +471,11 @@
     accepted_.insert(submit->second);
   }
   const auto cancel = cancel_calls_.find(c.call);
-  if (cancel != cancel_calls_.end() && c.answer.verdict == jobs::caller_verdict::cancelled) {
+  if (cancel == cancel_calls_.end()) return;
+  // That an accepted job doesn't exist is an acknowledgement too.
+  const bool denied =
+      c.answer.verdict == jobs::caller_verdict::no_such_job && accepted_.contains(cancel->second);
+  if (denied || c.answer.verdict == jobs::caller_verdict::cancelled) {
     cancelled_.try_emplace(cancel->second, now_);
   }
 }
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -157,6 +157,8 @@
   void check_start(const jobs::run_ref& run, bool late);
   void check_runs();
   void check_absences();
+  // Checks that no task of a cancelled job runs on.
+  void check_cancellations();
   bool is_expected(const std::string& job) const;
   bool chance(double share);
 
