--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -35,7 +35,9 @@
                                      .host = "h",
                                      .path_prefix = "/q/",
                                      .service = service_id{std::string{service}},
-                                     .max_attempts = options.max_attempts});
+                                     .max_attempts = options.max_attempts,
+                                     .slack_factor = options.slack_factor,
+                                     .latency_target = options.latency_target});
             return config;
           },
           .worker = [options](std::string_view id, std::string_view value)
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -36,6 +36,9 @@
   double compacted_appends = 0;    // share of appends after which the store drops its history
   double failing_tasks = 0;        // share of runs that end failed
   std::uint32_t max_attempts = 3;
+  // Of the queue: a job is due after its longest chain of work times the factor, and the target.
+  double slack_factor = 1;
+  duration latency_target{0};
   std::size_t workers_per_shard = 128;
   double link_bytes_per_s = 0;  // that each node can send; 0: no bound
   // Whether an end counts as noted once a worker has listed it, though the answer may be lost.
