Share the faults of two series in job_fleet_test

The two series drew and ended the same faults by copied lines. The older one draws as before; the one with cancellations now restarts workers too, as the other does (rounds without a fault: 3 of 9, 3 of 8 before).

--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -380,6 +380,33 @@
       fleet.run_until([&] { return fleet.owner() >= 0 && fleet.owner() != first; }, duration{800}));
 }
 
+// What a series of faults draws. Higher numbers are rounds without a fault.
+enum class series_fault : std::uint64_t {
+  kill_node,
+  freeze_node,
+  cut_store,
+  cut_worker,
+  restart_worker,
+  compact_store
+};
+constexpr std::uint64_t series_fault_draws = 9;
+
+void begin_fault(virtual_fleet& fleet, series_fault fault, int node, int worker) {
+  if (fault == series_fault::kill_node) fleet.kill_node(node);
+  if (fault == series_fault::freeze_node) fleet.freeze_node(node, true);
+  if (fault == series_fault::cut_store) fleet.cut_store(node, true);
+  if (fault == series_fault::cut_worker) fleet.set_worker_reachable(worker, false);
+  if (fault == series_fault::restart_worker) fleet.restart_worker(worker);
+  if (fault == series_fault::compact_store) fleet.compact_store();
+}
+
+void end_fault(virtual_fleet& fleet, series_fault fault, int node, int worker) {
+  if (fault == series_fault::kill_node) fleet.start_node(node);
+  if (fault == series_fault::freeze_node) fleet.freeze_node(node, false);
+  if (fault == series_fault::cut_store) fleet.cut_store(node, false);
+  if (fault == series_fault::cut_worker) fleet.set_worker_reachable(worker, true);
+}
+
 // Owners are repeatedly killed, frozen and cut off while responses are lost and orders are delayed.
 TEST(job_fleet_test, invariants_hold_through_repeated_faults) {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
@@ -401,18 +428,10 @@
       submitted.emplace_back(fleet.submit(static_cast<int>(random() % 4), id, two_steps(4)), id);
       const int node = fleet.owner() >= 0 ? fleet.owner() : static_cast<int>(random() % 4);
       const int worker = static_cast<int>(random() % 6);
-      const auto fault = random() % 9;
-      if (fault == 0) fleet.kill_node(node);
-      if (fault == 1) fleet.freeze_node(node, true);
-      if (fault == 2) fleet.cut_store(node, true);
-      if (fault == 3) fleet.set_worker_reachable(worker, false);
-      if (fault == 4) fleet.restart_worker(worker);
-      if (fault == 5) fleet.compact_store();
+      const auto fault = static_cast<series_fault>(random() % series_fault_draws);
+      begin_fault(fleet, fault, node, worker);
       fleet.run_for(duration{static_cast<int>(200 + random() % 2'500)});
-      if (fault == 0) fleet.start_node(node);
-      if (fault == 1) fleet.freeze_node(node, false);
-      if (fault == 2) fleet.cut_store(node, false);
-      if (fault == 3) fleet.set_worker_reachable(worker, true);
+      end_fault(fleet, fault, node, worker);
     }
     fleet.run_for(duration{10'000});
     for (const auto& [call, id] : submitted) {
@@ -447,17 +466,10 @@
       fleet.cancel(static_cast<int>(random() % 4), id);
       const int node = fleet.owner() >= 0 ? fleet.owner() : static_cast<int>(random() % 4);
       const int worker = static_cast<int>(random() % 6);
-      const auto fault = random() % 8;
-      if (fault == 0) fleet.kill_node(node);
-      if (fault == 1) fleet.freeze_node(node, true);
-      if (fault == 2) fleet.cut_store(node, true);
-      if (fault == 3) fleet.set_worker_reachable(worker, false);
-      if (fault == 4) fleet.compact_store();
+      const auto fault = static_cast<series_fault>(random() % series_fault_draws);
+      begin_fault(fleet, fault, node, worker);
       fleet.run_for(duration{static_cast<int>(100 + random() % 1'500)});
-      if (fault == 0) fleet.start_node(node);
-      if (fault == 1) fleet.freeze_node(node, false);
-      if (fault == 2) fleet.cut_store(node, false);
-      if (fault == 3) fleet.set_worker_reachable(worker, true);
+      end_fault(fleet, fault, node, worker);
     }
     fleet.run_for(duration{12'000});
     EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
