--- a/review/standin/review_case.cc
+++ b/review/standin/review_case.cc
@@ -336,13 +336,13 @@
     case 4:
       return cancelled_then_recorded(record);
     case 5:
-      return other_kind(record);
+      return countless_tasks(record);
     case 6:
       return waiting_gangs(record);
     case 7:
       return large_lasting_task(record);
     case 8:
-      return countless_tasks(record);
+      return other_kind(record);
     default:
       return not_run(record, "no such case");
   }
