Let responders outlive their HTTP listener

Backtrace: the destructor of the store's stand-in frees requests that it never answered, after its listener.

Cause: a responder held its RESTinio request, which refers to a connection of the server's own io_context. The header asked that responders be destroyed first; that order is easy to get wrong and nothing checked it.

Fix: open requests are held by the listener and named by ids. A responder that outlives the listener does nothing. Only the first answer counts, as before.

--- a/coltsfoot/transport/internal/rest_listener.cc
+++ b/coltsfoot/transport/internal/rest_listener.cc
@@ -7,6 +7,7 @@
 #include <exception>
 #include <mutex>
 #include <restinio/all.hpp>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
@@ -130,6 +131,58 @@
   builder.done([kept = std::move(response.until_written)](const auto&) mutable { kept.reset(); });
 }
 
+// Requests that have no answer yet. A request refers to its connection, which belongs to the
+// server: responders name a request by its id, so that they may outlive the server.
+class open_requests {
+ public:
+  using request_id = std::uint64_t;
+
+  request_id add(request_handle handle) {
+    const std::lock_guard lock{mutex_};
+    const auto id = ++last_id_;
+    if (!closed_) handles_.emplace(id, std::move(handle));
+    return id;
+  }
+
+  // Returns the request, which is then not open any more; null if it was not.
+  request_handle take(request_id id) {
+    const std::lock_guard lock{mutex_};
+    auto node = handles_.extract(id);
+    return node.empty() ? nullptr : std::move(node.mapped());
+  }
+
+  // Drops all requests, those to come included.
+  void close() {
+    std::unordered_map<request_id, request_handle> dropped;
+    const std::lock_guard lock{mutex_};
+    closed_ = true;
+    dropped.swap(handles_);
+  }
+
+ private:
+  std::mutex mutex_;
+  request_id last_id_ = 0;
+  bool closed_ = false;
+  std::unordered_map<request_id, request_handle> handles_;
+};
+
+// The right to answer one request. The request is dropped with it.
+class open_answer {
+ public:
+  open_answer(std::shared_ptr<open_requests> requests, request_handle handle)
+      : requests_(std::move(requests)), id_(requests_->add(std::move(handle))) {}
+  ~open_answer() { requests_->take(id_); }
+  open_answer(const open_answer&) = delete;
+  open_answer& operator=(const open_answer&) = delete;
+
+  // Returns the request, once.
+  request_handle take() { return requests_->take(id_); }
+
+ private:
+  std::shared_ptr<open_requests> requests_;
+  open_requests::request_id id_;
+};
+
 bool is_printable(std::string_view text) {
   return std::all_of(text.begin(), text.end(),
                      [](unsigned char c) { return c == '\t' || (c >= 0x20 && c != 0x7f); });
@@ -141,7 +194,10 @@
  public:
   impl(rest_listener_options options, rest_handler handler)
       : options_(std::move(options)), handler_(std::move(handler)) {}
-  ~impl() { stop(); }
+  ~impl() {
+    stop();
+    open_requests_->close();
+  }
   impl(const impl&) = delete;
   impl& operator=(const impl&) = delete;
 
@@ -167,7 +223,7 @@
     return {.connections = bound_->accepted(),
             .rejected_connections = bound_->rejected(),
             .received_body_bytes = received_body_bytes_,
-            .sent_body_bytes = sent_body_bytes_};
+            .sent_body_bytes = *sent_body_bytes_};
   }
 
  private:
@@ -193,12 +249,14 @@
   }
 
   restinio::request_handling_status_t handle_request(const request_handle& handle) {
-    auto answered = std::make_shared<std::atomic<bool>>(false);
     received_body_bytes_ += handle->body().size();
-    handler_(to_request(handle), [this, handle, answered](rest_response response) {
-      if (answered->exchange(true)) return;
-      sent_body_bytes_ += response.body.size();
-      respond_to(handle, std::move(response));
+    auto request = to_request(handle);
+    auto open = std::make_shared<open_answer>(open_requests_, handle);
+    handler_(std::move(request), [open, sent = sent_body_bytes_](rest_response response) {
+      const auto answered = open->take();
+      if (!answered) return;
+      *sent += response.body.size();
+      respond_to(answered, std::move(response));
     });
     return restinio::request_accepted();
   }
@@ -209,7 +267,9 @@
       std::make_shared<connection_bound>(options_.max_connections);
   std::atomic<std::uint16_t> port_{0};
   std::atomic<std::uint64_t> received_body_bytes_{0};
-  std::atomic<std::uint64_t> sent_body_bytes_{0};
+  std::shared_ptr<std::atomic<std::uint64_t>> sent_body_bytes_ =
+      std::make_shared<std::atomic<std::uint64_t>>(0);
+  std::shared_ptr<open_requests> open_requests_ = std::make_shared<open_requests>();
   restinio::running_server_handle_t<listener_traits> server_;
 };
 
--- a/coltsfoot/transport/internal/rest_listener.h
+++ b/coltsfoot/transport/internal/rest_listener.h
@@ -44,7 +44,8 @@
   std::shared_ptr<void> until_written;
 };
 
-// Answers one request; may be called from any thread. Later calls have no effect.
+// Answers one request; may be called from any thread, but not while the listener is being
+// destroyed. Later calls have no effect, nor has one after the listener's end.
 using rest_responder = std::function<void(rest_response)>;
 // Runs on a thread of the listener and must not block.
 using rest_handler = std::function<void(rest_request, const rest_responder&)>;
@@ -79,7 +80,7 @@
   rest_listener& operator=(const rest_listener&) = delete;
 
   tl::expected<void, transport_error> start();
-  // Stops the threads. Responders may be kept until the listener is destroyed, not longer.
+  // Stops the threads. Responders may be kept longer than the listener.
   void stop();
   std::uint16_t port() const;
   rest_listener_stats stats() const;
