Don't take runs for lost whose ends a worker could not list yet

Callers saw 120 of 620 tasks run twice after a worker had been cut off for 3.5 s: it listed 620 ends, 500 of them in the first answer, and the owner took the runs that this answer does not list for lost.

Cause: settle_missing did not consider that the list of ends may be cut off. Fix: the platform folder marks a report whose list is full (more_ends), and no run is taken for lost by such a report. The next answer decides.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -243,8 +243,8 @@
   void lose_run(worker_link& link, const task_key& key, std::string_view reason, time_point now);
   void on_ended(worker_link& link, const ended_row& row, time_point now);
   void on_running(worker_link& link, const running_row& row, time_point now);
-  void settle_missing(worker_link& link, const std::set<run_ref>& listed, time_point sent_at,
-                      time_point now);
+  void settle_missing(worker_link& link, const std::set<run_ref>& listed, bool more_ends,
+                      time_point sent_at, time_point now);
   void stop_run(worker_link& link, const task_key& key, time_point now);
   void drain_runs(worker_link& link, time_point now);
   void forget_link(worker_links::iterator at);
--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -78,6 +78,23 @@
   std::optional<job_owner> owner_;
 };
 
+// Guards against starting a task again whose end did not fit into the worker's answer.
+TEST_F(job_owner_test, a_run_that_is_missing_from_a_list_of_ends_that_was_cut_off_is_not_lost) {
+  start_first_run();
+  pass(duration{500});
+  const look_answer cut_off{
+      .verdict = order_verdict::accepted,
+      .report = {.clock = 1'000,
+                 .incarnation = 1,
+                 .ended = {{.number = 1, .run = {.task = {.job = job_id{"k"}}, .run = 1}}},
+                 .more_ends = true}};
+  owner_->on_look_answer({.worker = worker, .incarnation = 1}, cut_off, now_, now_);
+  EXPECT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::assigned);
+  pass(duration{500});
+  answer_look(1, 1, {});
+  EXPECT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::waiting);
+}
+
 // The next life numbers its ends from 1 again: a number of the former life would hide them.
 TEST_F(job_owner_test, ends_of_a_former_life_that_are_recorded_late_forget_none_of_the_next_life) {
   answer_look(1, 1, {});
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -300,7 +300,7 @@
     if (row.number > link->seen_end) on_ended(*link, row, now);
   }
   for (const auto& row : report.ended) link->seen_end = std::max(link->seen_end, row.number);
-  settle_missing(*link, listed, sent_at, now);
+  settle_missing(*link, listed, report.more_ends, sent_at, now);
   if (link->seen_end != seen_before) {
     next_.ends[link->life] = link->seen_end;
   }
@@ -408,8 +408,8 @@
 }
 
 // Runs that a look should have listed and did not, and runs that it should not have listed any
-// more.
-void job_owner::settle_missing(worker_link& link, const std::set<run_ref>& listed,
+// more. A run that is missing from a list of ends that was cut off may have ended: `more_ends`.
+void job_owner::settle_missing(worker_link& link, const std::set<run_ref>& listed, bool more_ends,
                                time_point sent_at, time_point now) {
   std::vector<task_key> lost;
   for (auto& [key, run] : link.runs) {
@@ -431,7 +431,7 @@
     }
     const bool vanished =
         run.phase == start_phase::confirmed && !run.stop_wanted && sent_at > run.confirmed_at;
-    if (stopped || vanished) lost.push_back(key);
+    if (!more_ends && (stopped || vanished)) lost.push_back(key);
   }
   for (const auto& key : lost) {
     lose_run(link, key, "not_listed", now);
--- a/coltsfoot/jobs/worker_calls.h
+++ b/coltsfoot/jobs/worker_calls.h
@@ -112,6 +112,8 @@
   std::uint64_t incarnation = 0;  // 0: not told
   std::vector<running_row> running;
   std::vector<ended_row> ended;
+  // The list of ends is cut off: later ones are told once those in it have been forgotten.
+  bool more_ends = false;
 };
 
 struct look_answer {
--- a/tests/jobs/fake_runner.cc
+++ b/tests/jobs/fake_runner.cc
@@ -8,6 +8,9 @@
 // From the start of a long-running task until it is at work.
 constexpr duration start_up{200};
 
+// Ends in one answer at the most. The others are told once these have been forgotten.
+constexpr std::size_t most_listed_ends = 500;
+
 }  // namespace
 
 using jobs::order_answer;
@@ -90,6 +93,10 @@
         {.run = {.task = task, .run = run.run}, .percent = static_cast<std::uint32_t>(percent)});
   }
   answer.report.ended = ends_;
+  if (answer.report.ended.size() >= most_listed_ends) {
+    answer.report.ended.resize(most_listed_ends);
+    answer.report.more_ends = true;
+  }
   return answer;
 }
 
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -168,6 +168,26 @@
   EXPECT_TRUE(fleet.broken().empty());
 }
 
+// Guards against starting tasks again whose ends did not fit into the answer to the first look.
+TEST(job_fleet_test, more_ends_than_a_worker_lists_at_once_are_all_taken) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    virtual_fleet fleet{
+        {.workers = 1, .seed = seed, .capacity = {.millicores = 64'000, .memory_mb = 256'000}}};
+    wait_until_settled(fleet);
+    jobs::job_spec spec{.payload = "p", .steps = {step(620, duration{4'000})}};
+    spec.steps[0].demand = {.millicores = 100, .memory_mb = 64};
+    fleet.submit(0, "j", spec);
+    ASSERT_TRUE(fleet.run_until([&] { return fleet.running("j") == 620; }, duration{3'000}));
+    fleet.run_for(duration{1'500});
+    fleet.set_worker_reachable(0, false);
+    fleet.run_for(duration{3'500});
+    fleet.set_worker_reachable(0, true);
+    EXPECT_TRUE(fleet.reaches(0, "j", job_state::completed, duration{8'000})) << "seed " << seed;
+    EXPECT_EQ(fleet.starts(), 620U) << "seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+  }
+}
+
 TEST(job_fleet_test, a_worker_that_restarts_under_its_id_gets_its_tasks_anew) {
   virtual_fleet fleet{{}};
   wait_until_settled(fleet);
