Record the cancellation of an unknown job before it is answered

Callers saw a job run to its end after its submission had got 504 and its cancellation 410: the store carried out the append of the acceptance, which it had not answered, 6 s later.

Cause: a node answered 410 once the journals had been read since the call. That shows that nobody was told 200, not that no append is still to come. Fix: the cancellation is recorded in the journals of all shards first; a job that is accepted after it is cancelled from the start, and the owner ends it. Owners drop such a record after 125 s. A state is not denied while an append of the acceptance by the same node may come.

Failed before, pass now: a_cancellation_holds_for_a_job_whose_acceptance_is_recorded_later (4 starts, at each of three nodes), a_cancellation_holds_in_each_shard_for_a_job_that_is_recorded_later, the_state_of_a_job_is_not_denied_while_its_acceptance_may_come. Passed before too: the_cancellation_of_an_unknown_job_is_forgotten_after_a_while.

--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -72,8 +72,10 @@
   void submit(const caller_request& request, const queue_config& queue, const job_id& id);
   void cancel(const caller_request& request, const job_id& id);
   void cancel_unknown(const caller_request& request, const job_id& id);
-  // Answers the cancellations of unknown jobs for which the journals have been read since.
+  // Settles the cancellations of unknown jobs for which the journals have been read since.
   void settle_unproved_cancels();
+  // Records the cancellation of a job that no journal has.
+  void cancel_in_all_shards(const caller_request& request, const job_id& id);
   // Answers a caller whose cancellation was not recorded.
   void refuse_cancel(call_id call);
   void query(const caller_request& request, const job_id& id);
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -135,7 +135,7 @@
   found.shard->append_for_caller(request, cancellation_record(id), caller_verdict::cancelled);
 }
 
-// Another node may just have accepted the job. That it doesn't exist is shown by a read of the
+// Another node may just have accepted the job. That nobody was told so is shown by a read of the
 // journals that was sent after the call had arrived.
 void job_node::cancel_unknown(const caller_request& request, const job_id& id) {
   if (!journals_are_fresh() || context_.refuses_waiting) return refuse_cancel(request.call);
@@ -150,7 +150,8 @@
       waiting.request.time_left = time_left;
       cancel(waiting.request, waiting.job);
     } else if (journals_include(waiting.arrived)) {
-      context_.answer(call, {.verdict = caller_verdict::no_such_job});
+      waiting.request.time_left = time_left;
+      cancel_in_all_shards(waiting.request, waiting.job);
     } else if (time_left <= context_.options.answer_margin || !journals_are_fresh() ||
                context_.refuses_waiting) {
       refuse_cancel(call);
@@ -160,6 +161,19 @@
   }
 }
 
+// The append of an acceptance that got no answer, at any node, may still be carried out: a job that
+// is accepted after the record of its cancellation never starts. Which shard it would belong to
+// depends on its specification, which is not known.
+void job_node::cancel_in_all_shards(const caller_request& request, const job_id& id) {
+  context_.log(severity::info,
+               fmt::format("event=unknown_job_cancelled job={} shards={} time_left_ms={}",
+                           log_value(id.value), shards_.size(), request.time_left.count()));
+  context_.split(request.call, shards_.size());
+  for (auto& shard : shards_) {
+    shard->append_for_caller(request, cancellation_record(id), caller_verdict::no_such_job);
+  }
+}
+
 void job_node::refuse_cancel(call_id call) {
   context_.answer(call, {.verdict = caller_verdict::gone_wrong,
                          .retry_after = context_.options.retry_after,
@@ -189,12 +203,16 @@
     return context_.answer(
         call, {.verdict = caller_verdict::state, .state = found.shard->shown_state(*found.record)});
   }
-  if (journals_are_fresh()) {
+  const bool may_come = std::any_of(shards_.begin(), shards_.end(), [&](const auto& shard) {
+    return shard->may_be_accepted_late(id);
+  });
+  if (journals_are_fresh() && !may_come) {
     return context_.answer(call, {.verdict = caller_verdict::no_such_job});
   }
   context_.answer(call, {.verdict = caller_verdict::gone_wrong,
                          .retry_after = context_.options.retry_after,
-                         .detail = "the journal can't be read"});
+                         .detail = may_come ? "the outcome of the job's acceptance is unknown"
+                                            : "the journal can't be read"});
 }
 
 // --- Other nodes ---
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -131,6 +131,7 @@
 void job_owner::on_accepted(const job_id& id, time_point now) {
   auto* j = table_.find(id);
   if (j == nullptr || j->ended()) return;
+  if (j->cancel_requested) return on_cancelled(id, now);
   if (j->accepted.spec.scheduled()) scheduled_.insert(id);
   refresh_waiting(*j, now);
 }
@@ -222,7 +223,8 @@
   refresh_waiting(j, now);
 }
 
-void job_owner::drop_expired() {
+void job_owner::drop_expired(time_point now) {
+  drop_early_cancels(now);
   std::vector<job_id> expired;
   for (const auto& [id, j] : table_) {
     if (j.ended() && j.ended_at + options_.keep_ended < wall_) expired.push_back(id);
@@ -234,6 +236,24 @@
   }
 }
 
+void job_owner::drop_early_cancels(time_point now) {
+  const auto former = std::exchange(early_cancels_seen_, {});
+  std::vector<job_id> expired;
+  for (const auto& id : table_.early_cancels()) {
+    const auto known = former.find(id);
+    const auto seen = known == former.end() ? now : known->second;
+    if (now - seen < options_.keep_early_cancels) {
+      early_cancels_seen_.emplace(id, seen);
+    } else {
+      expired.push_back(id);
+    }
+  }
+  for (const auto& id : expired) {
+    removals_.push_back(cancellation_removal(id));
+    table_.drop_early_cancel(id);
+  }
+}
+
 // --- Journal ---
 
 std::vector<keyed_record> job_owner::take_batch() {
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -55,11 +55,14 @@
   duration full_pause{400};   // after a worker has said that it has no room
   duration look_retry{200};   // after a look that failed; doubles with each further one
   duration longest_look_retry{800};
-  duration unrecorded_look{400};      // between looks while ends wait for the journal
-  duration stop_settle{400};          // from a stop's answer until a look must show the end
-  duration stall_limit{2'500};        // a run without any progress is started elsewhere
-  duration avoid_unhealthy{2'000};    // after a worker has called itself unhealthy
-  duration keep_ended{125'000};       // how long an ended job can be asked for
+  duration unrecorded_look{400};    // between looks while ends wait for the journal
+  duration stop_settle{400};        // from a stop's answer until a look must show the end
+  duration stall_limit{2'500};      // a run without any progress is started elsewhere
+  duration avoid_unhealthy{2'000};  // after a worker has called itself unhealthy
+  duration keep_ended{125'000};     // how long an ended job can be asked for
+  // How long the cancellation of an unknown job makes its acceptance void. An append without an
+  // answer is carried out within seconds.
+  duration keep_early_cancels{125'000};
   duration starved_after{1'000};      // without a run, while a task of the job could be started
   duration drain_patience{1'200};     // runs that should end by then stay on a worker that drains
   duration transfer_patience{6'000};  // for the runs of a worker that is to be transferred
@@ -217,7 +220,8 @@
   void requeue(job& j, task_index index, const std::string& checkpoint, time_point now);
   void stop_runs_of(const job_id& id, time_point now);
   void settle_cancelled(job& j, time_point now);
-  void drop_expired();
+  void drop_expired(time_point now);
+  void drop_early_cancels(time_point now);
 
   // Placing.
   void note_starved(const job& j, time_point now);
@@ -295,6 +299,7 @@
   std::size_t starts_left_ = 0;                // that the present placing pass may still decide
   std::set<job_id> cancelling_;                // cancelled jobs with runs that have not ended
   std::set<job_id> scheduled_;                 // jobs with occurrences that are not due yet
+  std::map<job_id, time_point> early_cancels_seen_;  // of jobs that were not accepted, since when
 
   std::set<job_id> dirty_;                         // progress to be recorded
   std::set<job_id> new_copies_;                    // partial copies to be recorded
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -39,7 +39,7 @@
   }
   if (now < next_summary_) return;
   next_summary_ = now + summary_interval;
-  drop_expired();
+  drop_expired(now);
   log_summary(now);
   log_long_waits(now);
 }
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -187,15 +187,22 @@
 
 }  // namespace
 
+std::string acceptance_key(const job_id& id) {
+  return std::string{acceptance_prefix} + id.value;
+}
+
 keyed_record acceptance_record(const accepted_job& accepted) {
-  return {.key = std::string{acceptance_prefix} + accepted.id.value,
-          .value = encode_msgpack(accepted)};
+  return {.key = acceptance_key(accepted.id), .value = encode_msgpack(accepted)};
 }
 
 keyed_record cancellation_record(const job_id& id) {
   return {.key = std::string{cancellation_prefix} + id.value, .value = "1"};
 }
 
+keyed_record cancellation_removal(const job_id& id) {
+  return {.key = std::string{cancellation_prefix} + id.value};
+}
+
 keyed_record progress_record(const job& j) {
   byte_writer out;
   out.number(progress_version);
@@ -235,8 +242,8 @@
     records.push_back({.key = handover_key(id, task)});
   }
   records.push_back({.key = std::string{progress_prefix} + id.value});
-  records.push_back({.key = std::string{cancellation_prefix} + id.value});
-  records.push_back({.key = std::string{acceptance_prefix} + id.value});
+  records.push_back(cancellation_removal(id));
+  records.push_back({.key = acceptance_key(id)});
   return records;
 }
 
@@ -271,7 +278,11 @@
     return applied_record{.kind = record_kind::acceptance, .job = *id};
   }
   if (const auto id = job_of(record.key, cancellation_prefix)) {
-    if (!record.value.empty()) table.request_cancel(*id);
+    if (record.value.empty()) {
+      table.drop_early_cancel(*id);
+    } else {
+      table.request_cancel(*id);
+    }
     return applied_record{.kind = record_kind::cancellation, .job = *id};
   }
   if (const auto id = job_of(record.key, progress_prefix)) {
--- a/coltsfoot/jobs/job_record.h
+++ b/coltsfoot/jobs/job_record.h
@@ -1,7 +1,9 @@
 // What the journal holds of jobs: records with a key, of which the newest of each key counts.
 //
 //   acceptance/<job>    written once by the node that accepted the job
-//   cancellation/<job>  written by the node that took the cancellation
+//   cancellation/<job>  written by the node that took the cancellation; one of an unknown job
+//   stands
+//                       in all journals, since its acceptance may still come in any of them
 //   progress/<job>      written by the owner only, the whole progress each time
 //   handover/<job>/<n>  task n has gone to another shard, or has come from one
 //   owner               the newest claim of the ownership
@@ -55,6 +57,10 @@
 
 keyed_record acceptance_record(const accepted_job& accepted);
 keyed_record cancellation_record(const job_id& id);
+// Drops the cancellation of a job that was never accepted.
+keyed_record cancellation_removal(const job_id& id);
+// Key of the record of the job's acceptance.
+std::string acceptance_key(const job_id& id);
 keyed_record progress_record(const job& j);
 keyed_record handover_record(const job_id& id, task_index task, const task_handover& handover);
 keyed_record claim_record(const owner_claim& claim);
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -44,6 +44,8 @@
   // Appends a record for a caller, who is told `verdict` once it is recorded.
   void append_for_caller(const caller_request& request, keyed_record record,
                          caller_verdict verdict);
+  // Whether the acceptance of an unknown job by this node may still be recorded, and would count.
+  bool may_be_accepted_late(const job_id& id) const;
   // Answers all callers who wait for a record. Nothing more is appended for them.
   void end_caller_appends();
 
--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -103,6 +103,10 @@
   return unknown_outcomes_.contains(key) || caller_batch_.contains(key);
 }
 
+bool job_shard::may_be_accepted_late(const job_id& id) const {
+  return may_be_recorded_late(acceptance_key(id)) && !state_.table.early_cancels().contains(id);
+}
+
 bool job_shard::is_expired(const std::string& key, const caller_append& entry) const {
   if (context_.now >= entry.give_up) return true;
   return !entry.doubtful && !caller_batch_.contains(key) && caller_append_call_ == 0 &&
--- a/coltsfoot/jobs/job_table.cc
+++ b/coltsfoot/jobs/job_table.cc
@@ -85,7 +85,7 @@
   if (auto* known = find(id)) {
     known->cancel_requested = true;
   } else {
-    early_cancels_[id] = true;
+    early_cancels_.insert(id);
   }
 }
 
--- a/coltsfoot/jobs/job_table.h
+++ b/coltsfoot/jobs/job_table.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -114,6 +115,10 @@
   bool accept(accepted_job accepted);
   // Marks a job as cancelled, also one whose acceptance has not been seen yet.
   void request_cancel(const job_id& id);
+  // Forgets the cancellation of a job that was never accepted.
+  void drop_early_cancel(const job_id& id) { early_cancels_.erase(id); }
+  // Cancelled jobs whose acceptance has not been seen.
+  const std::set<job_id>& early_cancels() const { return early_cancels_; }
   void forget(const job_id& id);
 
   job* find(const job_id& id);
@@ -129,7 +134,7 @@
 
  private:
   std::unordered_map<job_id, job> jobs_;
-  std::map<job_id, bool> early_cancels_;  // of jobs that are not in the table
+  std::set<job_id> early_cancels_;
 };
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/node_context.cc
+++ b/coltsfoot/jobs/node_context.cc
@@ -23,7 +23,21 @@
 
 }  // namespace
 
+bool node_context::absorbs(call_id call, caller_verdict verdict) {
+  const auto found = split_calls.find(call);
+  if (found == split_calls.end()) return false;
+  auto& split = found->second;
+  const bool answered = split.answered;
+  const bool failed =
+      verdict != caller_verdict::cancelled && verdict != caller_verdict::no_such_job;
+  split.answered = answered || failed;
+  const bool last = --split.parts_left == 0;
+  if (last) split_calls.erase(found);
+  return answered || (!failed && !last);
+}
+
 void node_context::answer(call_id call, caller_answer answer) {
+  if (absorbs(call, answer.verdict)) return;
   ++stats.answers[answer.verdict];
   const auto open = open_calls.find(call);
   if (open != open_calls.end()) {
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -76,6 +76,12 @@
   std::uint64_t step_downs = 0;
 };
 
+// A caller's call that several shards answer.
+struct split_call {
+  std::size_t parts_left = 0;
+  bool answered = false;  // a part has failed, and the caller was told
+};
+
 struct node_context {
   job_node_options options;
   log_sink sink;
@@ -84,6 +90,7 @@
   std::vector<node_command> commands;
   call_id last_call = 0;
   std::map<call_id, std::string> open_calls;  // of callers, with the path asked for
+  std::map<call_id, split_call> split_calls;
   std::optional<time_point> store_contact;
   bool shutting_down = false;
   // Close to the end of the shutdown: only what can be answered at once is answered.
@@ -98,8 +105,15 @@
   }
   // Answers a caller; each refusal leaves a log line.
   void answer(call_id call, caller_answer answer);
+  // From now on `parts` answers to a cancellation make one: the first that is a failure, or the
+  // last.
+  void split(call_id call, std::size_t parts) { split_calls[call] = {.parts_left = parts}; }
   // Tells a caller that what it asked for has certainly not been done.
   void refuse(call_id call, bool is_submission, std::string detail);
+
+ private:
+  // Whether the caller is not told of an answer to a part of its call.
+  bool absorbs(call_id call, caller_verdict verdict);
 };
 
 }  // namespace coltsfoot::jobs
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -263,6 +263,67 @@
   }
 }
 
+// Submits a job whose acceptance the store records after the caller was told that its outcome is
+// unknown, and returns that answer.
+const jobs::caller_answer* submit_with_late_record(virtual_fleet& fleet, const std::string& id) {
+  fleet.set_late_caller_appends(true);
+  const auto submitted = fleet.submit(0, id, two_steps(2));
+  fleet.run_until([&] { return fleet.answer_of(submitted) != nullptr; }, duration{4'000});
+  fleet.set_late_caller_appends(false);
+  return fleet.answer_of(submitted);
+}
+
+// Guards against a cancellation that is answered before the outcome of the acceptance is known,
+// at the node that took the job and at others.
+TEST(job_fleet_test, a_cancellation_holds_for_a_job_whose_acceptance_is_recorded_later) {
+  for (const int node : {0, 1, 2}) {
+    virtual_fleet fleet{{}};
+    wait_until_settled(fleet);
+    const auto* answer = submit_with_late_record(fleet, "j");
+    ASSERT_NE(answer, nullptr);
+    ASSERT_EQ(answer->verdict, caller_verdict::outcome_unknown);
+    const auto cancelled = fleet.cancel(node, "j");
+    fleet.run_until([&] { return fleet.answer_of(cancelled) != nullptr; }, duration{3'000});
+    ASSERT_NE(fleet.answer_of(cancelled), nullptr) << "node " << node;
+    EXPECT_EQ(fleet.answer_of(cancelled)->verdict, caller_verdict::no_such_job);
+    fleet.run_for(duration{9'000});
+    EXPECT_EQ(fleet.starts(), 0U) << "node " << node;
+    EXPECT_TRUE(fleet.reaches(node, "j", job_state::cancelled, duration{1'000})) << "node " << node;
+  }
+}
+
+// The shard of an unknown job is not known either: the cancellation has to hold in all of them.
+TEST(job_fleet_test, a_cancellation_holds_in_each_shard_for_a_job_that_is_recorded_later) {
+  for (int number = 0; number < 4; ++number) {
+    virtual_fleet fleet{{.workers = 12, .workers_per_shard = 4}};
+    wait_until_settled(fleet);
+    ASSERT_EQ(fleet.node(0).shards().size(), 3U);
+    const auto id = "j" + std::to_string(number);
+    const auto* answer = submit_with_late_record(fleet, id);
+    ASSERT_NE(answer, nullptr);
+    ASSERT_EQ(answer->verdict, caller_verdict::outcome_unknown);
+    const auto cancelled = fleet.cancel(1, id);
+    fleet.run_until([&] { return fleet.answer_of(cancelled) != nullptr; }, duration{3'000});
+    ASSERT_NE(fleet.answer_of(cancelled), nullptr) << id;
+    fleet.run_for(duration{9'000});
+    EXPECT_EQ(fleet.starts(), 0U) << id;
+  }
+}
+
+// Guards against telling a caller that a job doesn't exist while its acceptance may come.
+TEST(job_fleet_test, the_state_of_a_job_is_not_denied_while_its_acceptance_may_come) {
+  virtual_fleet fleet{{}};
+  wait_until_settled(fleet);
+  const auto* answer = submit_with_late_record(fleet, "j");
+  ASSERT_NE(answer, nullptr);
+  ASSERT_EQ(answer->verdict, caller_verdict::outcome_unknown);
+  const auto asked = fleet.query(0, "j");
+  fleet.run_for(duration{500});
+  ASSERT_NE(fleet.answer_of(asked), nullptr);
+  EXPECT_EQ(fleet.answer_of(asked)->verdict, caller_verdict::gone_wrong);
+  EXPECT_TRUE(fleet.reaches(0, "j", job_state::completed, duration{9'000}));
+}
+
 // The successor knows neither of the end nor of the cancellation.
 TEST(job_fleet_test, a_cancellation_that_an_owner_confirmed_before_it_recorded_the_end_holds) {
   virtual_fleet fleet{{}};
@@ -290,6 +351,16 @@
   EXPECT_FALSE(confirmed && fleet.starts() > 1) << "started again after the cancellation";
 }
 
+// Guards against cancellations of jobs that nobody has submitted staying in the journal for good.
+TEST(job_fleet_test, the_cancellation_of_an_unknown_job_is_forgotten_after_a_while) {
+  virtual_fleet fleet{{}};
+  wait_until_settled(fleet);
+  fleet.cancel(1, "nobody's");
+  fleet.run_for(duration{135'000});
+  fleet.submit(0, "nobody's", two_steps(1));
+  EXPECT_TRUE(fleet.reaches(2, "nobody's", job_state::completed, duration{3'000}));
+}
+
 TEST(job_fleet_test, the_cancellation_of_an_unknown_job_is_answered_in_time) {
   virtual_fleet fleet{{}};
   wait_until_settled(fleet);
