Bound the figures of new and stored jobs without wrapping around

Callers saw every node end, again after each start, by one job of 128 steps of 2^26 tasks, 2^31 times; the 19 jobs accepted before were never completed.

Cause: the number of tasks, 2^64, is 0 in 64 bits and passed the limit. Fix: the limit is compared by division, and all figures of a job are checked when it is submitted and when its record is read, so that a record that is stored already is ignored by all nodes. Related: the due time of a job and a caller's deadline are bounded.

--- a/coltsfoot/jobs/job.cc
+++ b/coltsfoot/jobs/job.cc
@@ -9,10 +9,17 @@
 namespace coltsfoot::jobs {
 namespace {
 
+bool is_too_large(const resources& demand) {
+  return std::max({demand.millicores, demand.memory_mb, demand.accelerators}) > largest_demand;
+}
+
 std::optional<std::string> fault_of_step(const step_spec& step, std::size_t number) {
   const auto name = "step " + std::to_string(number) + ": ";
   if (step.count == 0) return name + "has no tasks";
   if (step.demand.is_negative()) return name + "asks for a negative amount";
+  if (is_too_large(step.demand)) return name + "asks for too much";
+  if (!is_in_bounds(step.estimate)) return name + "has an estimate out of range";
+  if (!is_in_bounds(step.response_target)) return name + "has a response target out of range";
   for (const auto earlier : step.depends_on) {
     if (earlier >= number) return name + "depends on a step that is not earlier";
   }
@@ -29,8 +36,10 @@
     if (auto fault = fault_of_step(spec.steps[i], i)) return fault;
     tasks += spec.steps[i].count;
   }
-  if (tasks * spec.occurrences() > most_tasks_per_job) return "has too many tasks";
-  if (spec.scheduled() && spec.interval < duration{0}) return "has a negative interval";
+  // The product may not fit into an integer.
+  if (tasks > most_tasks_per_job / spec.occurrences()) return "has too many tasks";
+  if (!is_in_bounds(spec.interval)) return "has an interval out of range";
+  if (!is_in_bounds(spec.first_start)) return "has a start out of range";
   return std::nullopt;
 }
 
--- a/coltsfoot/jobs/job.h
+++ b/coltsfoot/jobs/job.h
@@ -64,6 +64,19 @@
 inline constexpr std::size_t most_payload_bytes = 4'000;
 inline constexpr std::uint32_t most_tasks_per_job = 20'000;
 
+// Bounds on a job's figures, so that sums and products over all of its tasks fit into 64 bits.
+inline constexpr duration longest_job_time{1'000'000'000'000};
+inline constexpr wall_time latest_job_time{duration{std::int64_t{1} << 53U}};
+inline constexpr std::int64_t largest_demand = 1'000'000'000'000;  // per resource, in its unit
+
+// Whether a duration, or a time of day, of a job is within the bounds.
+constexpr bool is_in_bounds(duration time) {
+  return time >= duration{0} && time <= longest_job_time;
+}
+constexpr bool is_in_bounds(wall_time time) {
+  return time >= wall_time{} && time <= latest_job_time;
+}
+
 // Returns why the specification can't be a job, or nothing.
 std::optional<std::string> fault_of(const job_spec& spec);
 
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -1,6 +1,7 @@
 #include "coltsfoot/jobs/job_record.h"
 
 #include <charconv>
+#include <cmath>
 #include <map>
 #include <optional>
 
@@ -138,6 +139,16 @@
   return {};
 }
 
+// Returns why a stored job can't be held, or nothing. Other versions, or other writers, may have
+// stored it.
+std::optional<std::string> fault_of(const accepted_job& accepted) {
+  if (auto fault = jobs::fault_of(accepted.spec)) return fault;
+  if (!is_in_bounds(accepted.latency_target)) return "has a latency target out of range";
+  if (!is_in_bounds(accepted.accepted_at)) return "was accepted at a time out of range";
+  if (!std::isfinite(accepted.slack_factor)) return "has no number as its slack factor";
+  return std::nullopt;
+}
+
 std::optional<job_id> job_of(std::string_view key, std::string_view prefix) {
   if (!key.starts_with(prefix)) return std::nullopt;
   return job_id{std::string{key.substr(prefix.size())}};
@@ -272,7 +283,7 @@
     }
     auto decoded = decode_msgpack<accepted_job>(record.value);
     if (!decoded) return tl::unexpected(record_error{decoded.error().message});
-    if (const auto fault = fault_of(decoded->spec)) return tl::unexpected(record_error{*fault});
+    if (const auto fault = fault_of(*decoded)) return tl::unexpected(record_error{*fault});
     if (decoded->id != *id) return tl::unexpected(record_error{"key of another job"});
     table.accept(std::move(*decoded));
     return applied_record{.kind = record_kind::acceptance, .job = *id};
--- a/coltsfoot/jobs/job_record_test.cc
+++ b/coltsfoot/jobs/job_record_test.cc
@@ -4,6 +4,9 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <cmath>
+#include <limits>
+
 namespace coltsfoot::jobs {
 namespace {
 
@@ -125,6 +128,28 @@
   RC_ASSERT(copy.table.find(job_id{"k"}) == nullptr);
 }
 
+// Guards against a stored record that ends each node that reads it, again after each start.
+TEST(job_record_test, a_stored_job_that_no_node_can_hold_is_ignored) {
+  const auto stored = [](auto change) {
+    auto accepted = sample_job();
+    change(accepted);
+    journal_copy copy;
+    const bool applied = copy.apply(acceptance_record(accepted)).has_value();
+    return applied || copy.table.size() > 0;
+  };
+  static constexpr auto huge = std::numeric_limits<std::int64_t>::max();
+  EXPECT_TRUE(stored([](accepted_job&) {}));
+  EXPECT_FALSE(stored([](accepted_job& job) {
+    job.spec.repetitions = 2'147'483'648;
+    job.spec.steps.assign(128, {.count = 67'108'864});
+  }));
+  EXPECT_FALSE(stored([](accepted_job& job) { job.accepted_at = wall_time{duration{huge}}; }));
+  EXPECT_FALSE(stored([](accepted_job& job) { job.accepted_at = wall_time{duration{-huge}}; }));
+  EXPECT_FALSE(stored([](accepted_job& job) { job.latency_target = duration{huge}; }));
+  EXPECT_FALSE(stored([](accepted_job& job) { job.slack_factor = std::nan(""); }));
+  EXPECT_FALSE(stored([](accepted_job& job) { job.spec.steps[0].estimate = duration{huge}; }));
+}
+
 TEST(job_record_test, the_transfer_with_the_highest_number_counts) {
   journal_state state;
   const worker_id worker{"w"};
--- a/coltsfoot/jobs/job_urgency.cc
+++ b/coltsfoot/jobs/job_urgency.cc
@@ -13,13 +13,16 @@
 constexpr double least_factor = 0.5;
 constexpr double most_factor = 4;
 
+// No job is given longer, so that a few times as much still fits into an integer.
+constexpr double longest_allowed_ms = 1e17;
+
 // Time that starting a step takes: a record in the journal and an order to the worker.
 constexpr duration step_overhead{40};
 
 duration allowed_time(const job& j) {
   const auto chain = static_cast<double>(longest_chain(j, false).count());
-  return duration{static_cast<std::int64_t>(chain * j.accepted.slack_factor)} +
-         j.accepted.latency_target;
+  const auto allowed = std::clamp(chain * j.accepted.slack_factor, 0.0, longest_allowed_ms);
+  return duration{static_cast<std::int64_t>(allowed)} + j.accepted.latency_target;
 }
 
 wall_time start_of(const job& j) {
--- a/coltsfoot/jobs/job_urgency_test.cc
+++ b/coltsfoot/jobs/job_urgency_test.cc
@@ -30,6 +30,18 @@
   EXPECT_EQ(due_time(chain_job()), accepted_at + duration{5'000});
 }
 
+// Guards against a product of a job's times and its queue's factor that fits into no integer.
+TEST(job_urgency_test, the_largest_factors_and_times_keep_the_order_of_jobs) {
+  auto j = chain_job();
+  for (auto& step : j.accepted.spec.steps) step.estimate = longest_job_time;
+  j.accepted.slack_factor = 1e300;
+  j.accepted.latency_target = longest_job_time;
+  EXPECT_GT(due_time(j), due_time(chain_job()));
+  EXPECT_EQ(prospect_after(j, duration{0}), prospect::in_time);
+  j.accepted.slack_factor = -1e300;
+  EXPECT_GE(due_time(j), accepted_at);
+}
+
 TEST(job_urgency_test, the_work_that_is_left_decides_whether_it_can_end_in_time) {
   auto j = chain_job();
   EXPECT_EQ(prospect_after(j, duration{2'900}), prospect::in_time);
