--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -80,6 +80,8 @@
   // While set, appends for callers are not answered and are executed seconds later.
   void set_late_caller_appends(bool late) { late_caller_appends_ = late; }
   void set_worker_reachable(int worker, bool reachable);
+  // While set, one node and one worker don't reach each other.
+  void cut_worker(int node, int worker, bool cut);
   void restart_worker(int worker);
   // While set, all runs that the worker starts fail soon.
   void set_worker_failing(int worker, bool failing);
@@ -89,6 +91,10 @@
     store_.compact();
   }
 
+  // Whether a worker runs tasks of a job.
+  bool runs_tasks(int worker) const {
+    return !workers_.at(static_cast<std::size_t>(worker)).runner.runs().empty();
+  }
   // Returns the number of the owner, or -1 if no node or several nodes claim ownership.
   int owner() const;
   // Returns whether each shard has exactly one owner and all running nodes know the layout.
@@ -129,6 +135,7 @@
     }
   };
 
+  bool reaches_worker(int node, int worker) const;
   void after(duration delay, std::function<void()> action);
   void deliver(int node, jobs::node_event event);
   // Delivers events that the node finds together, as after a pause.
@@ -176,6 +183,7 @@
   bool late_caller_appends_ = false;
   std::vector<node_state> nodes_;
   std::vector<worker_state> workers_;
+  std::set<std::pair<int, int>> worker_cuts_;  // node and worker
   std::map<std::string, jobs::job_spec> specs_;
   std::map<std::string, time_point> cancelled_;  // when the cancellation was confirmed
   std::map<call_id, std::string> cancel_calls_;  // calls that cancel
