Grant leases only while no successor can count them as over

An owner that had lost the store renewed the leases of the workers that it reached without a bound, while its successor took workers that it could not reach for free one lease after its own start, and started their tasks elsewhere.

So both conditions hold: no renewal by an owner that may have a successor, and an outage of the store alone ends nothing, however long. Weighed against promises of other nodes over the peer link: a node that is gone, restarted or new needs no special care, nodes need no membership of their own, and workers check fences already.

Limits: witnesses that the registry has not listed for 15 s count no more for a successor, so that the loss of most workers doesn't stop work for good; a partition for longer than that, with the former owner and most workers on the side without the store, is not covered.

--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -39,13 +39,13 @@
 }
 
 job_owner::job_owner(job_owner_options options, std::uint64_t fence, job_table& table,
-                     time_point now, wall_time wall, log_sink log)
+                     time_point now, wall_time wall, log_sink log, grant_authority authority)
     : options_(options),
       fence_(fence),
       table_(table),
       log_(std::move(log)),
       wall_(wall),
-      inherited_until_(now + lease_clock::longest(options.lease)),
+      grants_(std::move(authority)),
       window_(options.window),
       answers_(options.answers),
       start_retries_(options.start_retries) {
@@ -67,10 +67,9 @@
       const auto& task = j.tasks[i];
       if (task.phase != task_phase::assigned) continue;
       ++runs;
-      auto& link = links_
-                       .try_emplace(task.life.worker, task.life.worker, task.life.incarnation,
-                                    inherited_until_)
-                       .first->second;
+      auto& link =
+          links_.try_emplace(task.life.worker, task.life.worker, task.life.incarnation, now)
+              .first->second;
       if (link.life != task.life) {
         // The journal knows a later life of the worker: the former one has ended.
         link.life.incarnation = std::max(link.life.incarnation, task.life.incarnation);
@@ -308,6 +307,20 @@
   }
 }
 
+// Workers that the registry doesn't list any more, and lives that nothing was heard of, are none.
+std::optional<keyed_record> job_owner::take_witness_record(time_point now) {
+  if (now < next_witnesses_ || !grants_.may_propose()) return std::nullopt;
+  witness_set lives;
+  for (const auto& [id, link] : links_) {
+    if (link.listed && link.last_contact) lives.insert(link.life);
+  }
+  if (lives == grants_.witnesses()) return std::nullopt;
+  next_witnesses_ = now + options_.witness_gap;
+  auto record = witness_record(lives);
+  grants_.propose(std::move(lives));
+  return record;
+}
+
 bool job_owner::is_recorded(const job_id& id) const {
   return !next_.jobs.contains(id) && !in_flight_.jobs.contains(id);
 }
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "coltsfoot/jobs/answer_time.h"
+#include "coltsfoot/jobs/grant_authority.h"
 #include "coltsfoot/jobs/job_record.h"
 #include "coltsfoot/jobs/job_table.h"
 #include "coltsfoot/jobs/job_urgency.h"
@@ -43,7 +44,11 @@
   duration lease{5'000};
   duration look_wait{800};        // how long a worker may hold back its answer
   duration mixed_look_wait{350};  // the same where filling tasks work beside serving ones
-  duration look_timeout{1'500};   // at least; `look_wait` included
+  // While the store answers nothing: whether leases may be granted depends on the newest answers.
+  duration needed_look_wait{350};
+  grant_options grants;
+  duration witness_gap{1'000};   // between two records of the witnesses
+  duration look_timeout{1'500};  // at least; `look_wait` included
   // Calls without an answer are repeated after a time that follows the workers' answers, and given
   // up with their connection only after these limits: until then a late answer still counts.
   answer_time_options answers;
@@ -97,8 +102,14 @@
 
 class job_owner {
  public:
+  // `authority`: with the witnesses of the former owner.
   job_owner(job_owner_options options, std::uint64_t fence, job_table& table, time_point now,
-            wall_time wall, log_sink log);
+            wall_time wall, log_sink log, grant_authority authority);
+  // Of a shard that nobody has owned before.
+  job_owner(const job_owner_options& options, std::uint64_t fence, job_table& table, time_point now,
+            wall_time wall, log_sink log)
+      : job_owner(options, fence, table, now, wall, std::move(log),
+                  grant_authority{options.grants, {}, now, now}) {}
 
   // --- What happens in the fleet ---
   void on_listing(const worker_listing& listing, time_point now);
@@ -155,6 +166,11 @@
   bool has_batch() const { return !dirty_.empty() || !removals_.empty() || !next_.empty(); }
   std::vector<keyed_record> take_batch();
   void on_batch_recorded(time_point now);
+  // The store has shown that this owner was the newest at some time since `at`.
+  void on_confirmed(time_point at) { grants_.on_confirmed(at); }
+  // Returns the record of new witnesses, if they have changed. It belongs to the next append.
+  std::optional<keyed_record> take_witness_record(time_point now);
+  void on_witnesses_recorded() { grants_.on_proposal_recorded(); }
 
   std::vector<worker_order> take_orders() { return std::exchange(orders_, {}); }
 
@@ -269,7 +285,10 @@
   void send_start(worker_link& link, const task_key& key, placed_run& run, time_point now);
   void send_stop(worker_link& link, const run_ref& run);
   void send_pace(worker_link& link, const task_key& key, placed_run& run);
-  duration look_wait_of(const worker_link& link) const;
+  duration look_wait_of(const worker_link& link, time_point now) const;
+  // From when on no lease lasts there that this or a former owner granted.
+  time_point lapses_at(const worker_link& link) const;
+  void watch_grants(time_point now);
   void send_look(worker_link& link, time_point now);
   void learn_interference(worker_link& link, const look_report& report, time_point now);
   void pace_runs(worker_link& link, time_point now);
@@ -284,7 +303,10 @@
   job_table& table_;
   log_sink log_;
   wall_time wall_;  // of the last tick
-  time_point inherited_until_;
+  grant_authority grants_;
+  bool granting_ = true;            // whether leases could be granted at the last tick
+  bool inheritance_known_ = false;  // whether it was known then when former leases are over
+  time_point next_witnesses_{};
   worker_links links_;
   std::map<worker_id, remembered_lives> remembered_;  // of workers that have no link any more
   interference_model model_{{}};
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -25,7 +25,7 @@
 void job_owner::send_start(worker_link& link, const task_key& key, placed_run& run,
                            time_point now) {
   const auto* j = table_.find(key.job);
-  if (j == nullptr) return;
+  if (j == nullptr || !grants_.may_grant(now)) return;
   const auto lease_end = link.lease.extend(now, options_.lease);
   if (!lease_end) return;
   run.phase = start_phase::sent;
@@ -102,7 +102,8 @@
 
 // Where filling tasks work beside serving ones, the tails are read more often. While the owner has
 // more to send than it can, workers are asked half as often: looks are a part of the load.
-duration job_owner::look_wait_of(const worker_link& link) const {
+duration job_owner::look_wait_of(const worker_link& link, time_point now) const {
+  if (grants_.needs_workers(now)) return options_.needed_look_wait;
   const bool mixed = link.serving > 0 && link.fill_millicores > 0;
   const auto wait = mixed ? options_.mixed_look_wait : options_.look_wait;
   return window_.congested() ? 2 * wait : wait;
@@ -113,8 +114,8 @@
   const bool patient = settled && link.failed_looks == 0 && link.last_contact.has_value();
   // A look without an answer may have been carried out: it would renew a lease that nobody can tell
   // to be over.
-  const bool renew = link.failed_looks == 0;
-  const auto wait = patient ? look_wait_of(link) : duration{0};
+  const bool renew = link.failed_looks == 0 && grants_.may_grant(now);
+  const auto wait = patient ? look_wait_of(link, now) : duration{0};
   const auto answered_after = wait + answer_timeout();
   const auto patience = patient ? std::max(options_.look_timeout, answered_after) : answered_after;
   link.open_polls[now] = {.answer_by = now + patience, .wait = wait};
@@ -135,7 +136,8 @@
   for (auto& [key, run] : link.runs) {
     if (run.stop_answered || now < run.next_try) continue;
     // A start renews the lease too.
-    const bool repeats = run.phase == start_phase::sent && link.failed_looks == 0;
+    const bool repeats =
+        run.phase == start_phase::sent && link.failed_looks == 0 && grants_.may_grant(now);
     if (repeats && !run.stop_wanted) repeat_start(link, key, run, now);
     if (!run.stop_wanted || now < run.next_try) continue;
     run.next_try = now + std::min(next_gap(run), longest_stop_gap);
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -22,6 +22,7 @@
   wall_ = wall;
   own_delay_ = own_delay;
   window_.adjust(now);
+  watch_grants(now);
   tend_workers(now);
   send_ready_starts(now);
   for (const auto& id : std::vector<job_id>{cancelling_.begin(), cancelling_.end()}) {
@@ -44,6 +45,35 @@
   log_long_waits(now);
 }
 
+// Another owner may have granted leases here, also without having recorded a run.
+time_point job_owner::lapses_at(const worker_link& link) const {
+  const auto inherited = grants_.inherited_until(lease_clock::longest(options_.lease));
+  return inherited ? std::max(link.lease.lapses_at(), *inherited) : time_point::max();
+}
+
+void job_owner::watch_grants(time_point now) {
+  const auto is_listed = [this](const worker_id& worker) {
+    const auto found = links_.find(worker);
+    return found != links_.end() && found->second.listed;
+  };
+  grants_.note_listed(is_listed, now);
+  const auto inherited = grants_.inherited_until(lease_clock::longest(options_.lease));
+  if (inherited && !inheritance_known_) {
+    log(severity::info,
+        fmt::format("event=witnesses_reached witnesses={} former_leases_over_in_ms={}",
+                    grants_.witnesses().size(), (*inherited - now).count()));
+  }
+  inheritance_known_ = inherited.has_value();
+  const bool may_grant = grants_.may_grant(now);
+  if (may_grant != granting_) {
+    log(severity::warning,
+        fmt::format("event={} confirmed_ms_ago={} witnesses={}",
+                    may_grant ? "lease_grants_resumed" : "lease_grants_stopped",
+                    grants_.unconfirmed_for(now).count(), grants_.witnesses().size()));
+  }
+  granting_ = may_grant;
+}
+
 // Tends all workers of a small fleet, and a part of those of a large one, in turn.
 void job_owner::tend_workers(time_point now) {
   const auto part = std::max(most_tended_at_once, links_.size() / turns_for_all + 1);
@@ -74,7 +104,7 @@
 void job_owner::tend_worker(worker_link& link, time_point now) {
   note_late_polls(link, now);
   const bool silent = link.failed_looks > 0 || !link.last_contact || !link.listing;
-  if (silent && now >= link.lease.lapses_at() && !link.runs.empty()) {
+  if (silent && now >= lapses_at(link) && !link.runs.empty()) {
     end_life(link, "lease_lapsed", now);
   }
   std::vector<task_key> stalled;
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -36,8 +36,6 @@
   auto [at, fresh] = links_.try_emplace(listing.id, listing.id, listing.incarnation, now);
   auto& link = at->second;
   if (fresh) {
-    // Another owner may have granted a lease here without having recorded a run.
-    link.lease = lease_clock{inherited_until_};
     const auto known = remembered_.find(listing.id);
     if (known != remembered_.end()) {
       const bool restarted = listing.incarnation != known->second.incarnation;
@@ -288,6 +286,7 @@
   }
   link->failed_looks = 0;
   note_contact(*link, report.clock, now);
+  grants_.on_obeyed(link->life, sent_at, now);
   std::set<run_ref> listed;
   for (const auto& row : report.running) {
     listed.insert(row.run);
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -17,6 +17,7 @@
 constexpr std::string_view transfer_prefix = "transfer/";
 constexpr std::string_view claim_key = "owner";
 constexpr std::string_view layout_key = "layout";
+constexpr std::string_view witnesses_key = "witnesses";
 
 // Version of the progress encoding.
 constexpr std::uint64_t progress_version = 1;
@@ -241,6 +242,10 @@
           .value = encode_msgpack(transfer)};
 }
 
+keyed_record witness_record(const std::set<worker_life>& witnesses) {
+  return {.key = std::string{witnesses_key}, .value = encode_msgpack(witnesses)};
+}
+
 bool is_transfer(const keyed_record& record) {
   return record.key.starts_with(transfer_prefix);
 }
@@ -276,6 +281,12 @@
     if (decoded->racks.size() >= state.layout.racks.size()) state.layout = std::move(*decoded);
     return applied_record{.kind = record_kind::layout};
   }
+  if (record.key == witnesses_key) {
+    auto decoded = decode_msgpack<std::set<worker_life>>(record.value);
+    if (!decoded) return tl::unexpected(record_error{decoded.error().message});
+    state.witnesses = std::move(*decoded);
+    return applied_record{.kind = record_kind::witnesses};
+  }
   if (const auto id = job_of(record.key, acceptance_prefix)) {
     if (record.value.empty()) {
       table.forget(*id);
--- a/coltsfoot/jobs/job_record.h
+++ b/coltsfoot/jobs/job_record.h
@@ -7,6 +7,7 @@
 //   progress/<job>      written by the owner only, the whole progress each time
 //   handover/<job>/<n>  task n has gone to another shard, or has come from one
 //   owner               the newest claim of the ownership
+//   witnesses           worker lives of which a majority must obey an owner: see grant_authority.h
 //   layout              how the fleet is divided; in the journal of the first shard
 //
 //   apply_record(record, table, claim);
@@ -14,6 +15,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -66,14 +68,24 @@
 keyed_record claim_record(const owner_claim& claim);
 keyed_record layout_record(const fleet_layout& layout);
 keyed_record transfer_record(const worker_transfer& transfer);
+keyed_record witness_record(const std::set<worker_life>& witnesses);
 bool is_transfer(const keyed_record& record);
 
 // Records that drop all that the journal holds of a job.
 std::vector<keyed_record> removal_records(const job& j);
 
-enum class record_kind { acceptance, cancellation, progress, handover, claim, layout, transfer };
+enum class record_kind {
+  acceptance,
+  cancellation,
+  progress,
+  handover,
+  claim,
+  layout,
+  transfer,
+  witnesses
+};
 
-// What a record changed. `job` is empty for a claim, a layout and a transfer.
+// What a record changed. `job` is empty for a claim, a layout, a transfer and witnesses.
 struct applied_record {
   record_kind kind = record_kind::acceptance;
   job_id job;
@@ -89,6 +101,7 @@
   owner_claim claim;                               // the newest
   fleet_layout layout;                             // of the first shard's journal
   std::map<worker_id, worker_transfer> transfers;  // the newest that this shard has made
+  std::set<worker_life> witnesses;                 // the newest that an owner has recorded
 };
 
 // Applies a record to `state`. A record that can't be read changes nothing.
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -109,6 +109,7 @@
 
 void job_shard::on_read(topic_read event) {
   if (const auto change = take_page(journal_, std::move(event), context_)) apply(*change);
+  if (owner_ && journal_.complete_until()) owner_->on_confirmed(*journal_.complete_until());
   become_owner_if_due();
 }
 
@@ -151,6 +152,7 @@
       return;
     case record_kind::handover:
     case record_kind::layout:
+    case record_kind::witnesses:
       return;
     case record_kind::transfer:
       ++transfers_applied_;
@@ -249,7 +251,11 @@
   const auto fence = state_.claim.fence;
   // Its lines name the shard too.
   const log_sink sink = [this](severity level, const std::string& text) { log(level, text); };
-  owner_.emplace(context_.options.owner, fence, state_.table, context_.now, context_.wall, sink);
+  // The read that has shown the claim to be the newest was sent then.
+  const auto confirmed_at = journal_.complete_until().value_or(time_point{});
+  owner_.emplace(
+      context_.options.owner, fence, state_.table, context_.now, context_.wall, sink,
+      grant_authority{context_.options.owner.grants, state_.witnesses, confirmed_at, context_.now});
   log(severity::info, fmt::format("event=became_owner fence={} offset={} jobs={}", fence,
                                   journal_.position(), state_.table.size()));
 }
@@ -305,12 +311,18 @@
   }
   if (layout_to_record_) owner_batch_.push_back(layout_record(*layout_to_record_));
   layout_to_record_.reset();
+  if (auto witnesses = owner_->take_witness_record(context_.now)) {
+    owner_batch_.push_back(std::move(*witnesses));
+  }
   return !owner_batch_.empty();
 }
 
 void job_shard::write_owner_batch() {
   if (owner_append_call_ != 0 || context_.now < next_owner_append_) return;
-  if (!owner_batch_open_) owner_batch_open_ = take_owner_batch();
+  if (!owner_batch_open_) {
+    owner_batch_open_ = take_owner_batch();
+    owner_batch_sent_ = context_.now;
+  }
   if (!owner_batch_open_) return;
   owner_append_call_ = context_.new_call();
   ++context_.stats.appends;
@@ -340,6 +352,8 @@
       owner_batch_.clear();
       last_owner_record_ = context_.now;
       next_owner_append_ = context_.now + append_gap_;
+      owner_->on_confirmed(owner_batch_sent_);
+      owner_->on_witnesses_recorded();
       owner_->on_batch_recorded(context_.now);
       if (resign_sent_) step_down("resigned");
       return;
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -151,6 +151,7 @@
   std::vector<keyed_record> owner_batch_;
   call_id owner_append_call_ = 0;
   bool owner_batch_open_ = false;  // taken, and not known as recorded
+  time_point owner_batch_sent_{};  // when it was sent first
   time_point next_owner_append_{};
   duration append_gap_{0};
   time_point last_owner_record_{};
--- a/coltsfoot/jobs/job_table.h
+++ b/coltsfoot/jobs/job_table.h
@@ -26,6 +26,7 @@
   std::uint64_t incarnation = 0;
   friend auto operator<=>(const worker_life&, const worker_life&) = default;
 };
+COLTSFOOT_CODEC(worker_life, worker, incarnation)
 
 enum class task_phase : std::uint8_t {
   waiting,   // not running anywhere
