Refuse jobs at once whose record or key the store can't hold

A job of some 800 steps or more has a record that the store refuses for its size; the append was tried until the caller's deadline, and the records of all other callers of that node with it. A job id of more than 240 bytes gave a key whose length the store's format can't hold: the caller was told 200 for a job that nobody could read. Both are answered 400 now.

store_limits names what the store takes; the fake store refuses more. Failed with the two checks taken out: a_job_that_is_too_large_for_a_record_is_refused_at_once, a_job_id_that_is_too_long_for_a_key_is_refused_at_once.

--- a/coltsfoot/jobs/job.h
+++ b/coltsfoot/jobs/job.h
@@ -60,6 +60,9 @@
 // may.
 bool occurrence_due(const job_spec& spec, std::uint32_t occurrence, wall_time now);
 
+// Ids are parts of keys in the store, whose length has a bound.
+inline constexpr std::size_t most_job_id_bytes = 128;
+
 // Bounds on what one job may hold, so that no job can exhaust a node's memory.
 inline constexpr std::size_t most_payload_bytes = 4'000;
 inline constexpr std::uint32_t most_tasks_per_job = 20'000;
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -57,6 +57,10 @@
     return context_.answer(
         request.call, {.verdict = caller_verdict::malformed, .detail = "no job id in the path"});
   }
+  if (name.size() > most_job_id_bytes) {
+    return context_.answer(
+        request.call, {.verdict = caller_verdict::malformed, .detail = "the job id is too long"});
+  }
   const job_id id{name};
   switch (request.action) {
     case caller_action::submit:
@@ -118,10 +122,13 @@
   if (find(id).shard != nullptr) {
     return context_.answer(request.call, {.verdict = caller_verdict::accepted});
   }
+  auto record = acceptance_record(accepted_from(request, queue, id, context_.wall));
+  if (size_of(record) > context_.options.store.record_bytes) {
+    return context_.answer(request.call, {.verdict = caller_verdict::malformed,
+                                          .detail = "is too large to be recorded"});
+  }
   const auto number = layout().shard_of_job(id, *request.spec);
-  shards_.at(number)->append_for_caller(
-      request, acceptance_record(accepted_from(request, queue, id, context_.wall)),
-      caller_verdict::accepted);
+  shards_.at(number)->append_for_caller(request, std::move(record), caller_verdict::accepted);
 }
 
 void job_node::cancel(const caller_request& request, const job_id& id) {
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -30,6 +30,7 @@
 #include "coltsfoot/jobs/pacing.h"
 #include "coltsfoot/jobs/placement.h"
 #include "coltsfoot/jobs/start_window.h"
+#include "coltsfoot/jobs/store_limits.h"
 #include "coltsfoot/jobs/worker_calls.h"
 #include "coltsfoot/jobs/worker_link.h"
 #include "coltsfoot/observe/latency_histogram.h"
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -215,6 +215,15 @@
   return {.key = std::string{cancellation_prefix} + id.value};
 }
 
+std::string_view job_in_key(std::string_view key) {
+  for (const auto prefix : {acceptance_prefix, cancellation_prefix, progress_prefix}) {
+    if (key.starts_with(prefix)) return key.substr(prefix.size());
+  }
+  if (!key.starts_with(handover_prefix)) return {};
+  key.remove_prefix(handover_prefix.size());
+  return key.substr(0, key.rfind('/'));
+}
+
 keyed_record progress_record(const job& j) {
   byte_writer out;
   out.number(progress_version);
--- a/coltsfoot/jobs/job_record.h
+++ b/coltsfoot/jobs/job_record.h
@@ -71,6 +71,9 @@
 keyed_record witness_record(const std::set<worker_life>& witnesses);
 bool is_transfer(const keyed_record& record);
 
+// The job that a key names; empty if it names none.
+std::string_view job_in_key(std::string_view key);
+
 // Records that drop all that the journal holds of a job.
 std::vector<keyed_record> removal_records(const job& j);
 
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -32,6 +32,7 @@
   std::string peer_address;    // "ip:port" of the peer transport
   store_codec codec;
   job_owner_options owner;
+  store_limits store;
   election_options election;
   layout_options layout;
   topic_follower_options jobs_topic{.poll_interval = duration{250}, .poll_wait = duration{400}};
--- a/tests/jobs/fake_store.cc
+++ b/tests/jobs/fake_store.cc
@@ -13,7 +13,18 @@
   }
 }
 
+bool fake_store::fits(const std::vector<jobs::keyed_record>& records) const {
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    const auto size = jobs::size_of(record);
+    if (size > limits_.record_bytes || record.key.size() > most_key_bytes) return false;
+    bytes += size;
+  }
+  return bytes <= limits_.append_bytes;
+}
+
 append_verdict fake_store::append(const jobs::append_to_jobs& command) {
+  if (!fits(command.records)) return append_verdict::unknown;  // the answer has no meaning to nodes
   auto& t = topics_[{jobs::store_topic::jobs, command.shard}];
   auto& writer = writers_[command.shard];
   if (const auto& sequence = command.sequence) {
--- a/tests/jobs/fake_store.h
+++ b/tests/jobs/fake_store.h
@@ -9,11 +9,14 @@
 #include <vector>
 
 #include "coltsfoot/jobs/node_messages.h"
+#include "coltsfoot/jobs/store_limits.h"
 
 namespace coltsfoot::testing {
 
 class fake_store {
  public:
+  explicit fake_store(jobs::store_limits limits) : limits_(limits) {}
+
   jobs::append_verdict append(const jobs::append_to_jobs& command);
   // Writes a record on behalf of the operator or a worker.
   void put(jobs::store_topic topic, const std::string& key, const std::string& value);
@@ -35,6 +38,8 @@
     std::map<std::string, std::string> newest;
     log_offset end() const { return first + records.size(); }
   };
+  static constexpr std::size_t most_key_bytes = 255;
+  bool fits(const std::vector<jobs::keyed_record>& records) const;
   static void add(topic& t, const jobs::keyed_record& record);
 
   struct writer {
@@ -43,6 +48,7 @@
   };
   using partition = std::pair<jobs::store_topic, jobs::shard_number>;
 
+  jobs::store_limits limits_;
   std::map<partition, topic> topics_;
   std::map<jobs::shard_number, writer> writers_;
   std::size_t appends_ = 0;
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -419,6 +419,30 @@
   EXPECT_EQ(fleet.answer_of(cut)->verdict, jobs::caller_verdict::unavailable);
 }
 
+// Guards against one job whose record the store refuses holding up those of other callers.
+TEST(job_fleet_test, a_job_that_is_too_large_for_a_record_is_refused_at_once) {
+  virtual_fleet fleet{{}};
+  wait_until_settled(fleet);
+  jobs::job_spec large{.payload = "p", .steps = {}};
+  large.steps.assign(5'000, step(1, duration{300}));
+  const auto refused = fleet.submit(0, "large", large);
+  const auto accepted = fleet.submit(0, "small", two_steps(1));
+  fleet.run_for(duration{100});
+  ASSERT_NE(fleet.answer_of(refused), nullptr);
+  EXPECT_EQ(fleet.answer_of(refused)->verdict, caller_verdict::malformed);
+  ASSERT_NE(fleet.answer_of(accepted), nullptr);
+  EXPECT_EQ(fleet.answer_of(accepted)->verdict, caller_verdict::accepted);
+}
+
+// Guards against a key whose length the store's format can't hold: the job would be lost.
+TEST(job_fleet_test, a_job_id_that_is_too_long_for_a_key_is_refused_at_once) {
+  virtual_fleet fleet{{}};
+  wait_until_settled(fleet);
+  const auto refused = fleet.submit(0, std::string(300, 'j'), two_steps(1));
+  ASSERT_NE(fleet.answer_of(refused), nullptr);
+  EXPECT_EQ(fleet.answer_of(refused)->verdict, caller_verdict::malformed);
+}
+
 TEST(job_fleet_test, a_compacted_history_is_read_again) {
   virtual_fleet fleet{{}};
   wait_until_settled(fleet);
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -60,7 +60,7 @@
 }  // namespace
 
 virtual_fleet::virtual_fleet(const fleet_options& options)
-    : options_(options), random_(options.seed) {
+    : options_(options), random_(options.seed), store_(options.store) {
   store_.put(jobs::store_topic::configuration, "config", "1");
   for (int i = 0; i < options.workers; ++i) {
     workers_.push_back({.runner = fake_runner{worker_id{"w" + std::to_string(i)}, options.capacity,
@@ -116,6 +116,7 @@
                                  .strength = strength_of(options_, node),
                                  .peer_address = std::to_string(node),
                                  .codec = codec_for(options_),
+                                 .store = options_.store,
                                  .layout = {.workers_per_shard = options_.workers_per_shard}};
   state.core = std::make_unique<jobs::job_node>(std::move(options), now_, log);
   tick(node, state.life);
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -43,6 +43,7 @@
   double link_bytes_per_s = 0;  // that each node can send; 0: no bound
   // Whether an end counts as noted once a worker has listed it, though the answer may be lost.
   bool listed_ends_are_noted = false;
+  jobs::store_limits store;
   std::vector<std::uint32_t> strengths;  // per node; the last one applies to all further nodes
 };
 
