Record progress beyond what the store takes at once in parts

An owner whose progress was larger than one append (2 MB), or that of one job larger than one record (256 KB: 20,000 tasks with checkpoints), tried the refused append again and again, as did each successor: nothing of the shard was recorded any more.

Batches are appended in parts now, with all records of a job in one part, so that a successor never sees a copy without its progress. Progress that is too large for a record is recorded without its checkpoints.

Failed before: more_progress_than_an_append_holds_is_recorded_in_parts (none of 100 jobs shown as completed, with nodes that don't know the limit of their store). the_progress_of_the_largest_job_fits_into_a_record is new with the parameter that it tests.

--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -258,17 +258,17 @@
 std::vector<keyed_record> job_owner::take_batch() {
   std::vector<keyed_record> records;
   records.reserve(dirty_.size() + removals_.size());
-  for (const auto& id : std::exchange(new_copies_, {})) {
-    if (const auto* j = table_.find(id)) records.push_back(acceptance_record(j->accepted));
-  }
+  const auto new_copies = std::exchange(new_copies_, {});
   for (const auto& id : dirty_) {
-    if (const auto* j = table_.find(id)) records.push_back(progress_record(*j));
-  }
-  // After the progress, which the receiver needs to know.
-  for (const auto& key : next_.handovers) {
-    const auto* j = table_.find(key.job);
+    const auto* j = table_.find(id);
     if (j == nullptr) continue;
-    records.push_back(handover_record(key.job, key.index, j->handovers.at(key.index)));
+    if (new_copies.contains(id)) records.push_back(acceptance_record(j->accepted));
+    records.push_back(progress_record(*j, options_.record_bytes));
+    // After the progress, which the receiver needs to know.
+    for (auto at = next_.handovers.lower_bound({.job = id});
+         at != next_.handovers.end() && at->job == id; ++at) {
+      records.push_back(handover_record(id, at->index, j->handovers.at(at->index)));
+    }
   }
   std::move(removals_.begin(), removals_.end(), std::back_inserter(records));
   for (const auto& transfer : next_.transfers) records.push_back(transfer_record(transfer));
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -43,6 +43,7 @@
   // Long enough to outlast the takeover by another node, short enough that the work of a worker
   // that was cut off goes on soon.
   duration lease{5'000};
+  std::size_t record_bytes = store_limits{}.record_bytes;  // that the store takes
   duration look_wait{800};        // how long a worker may hold back its answer
   duration mixed_look_wait{350};  // the same where filling tasks work beside serving ones
   // While the store answers nothing: whether leases may be granted depends on the newest answers.
@@ -165,6 +166,7 @@
 
   // --- Journal ---
   bool has_batch() const { return !dirty_.empty() || !removals_.empty() || !next_.empty(); }
+  // The records of one job follow each other.
   std::vector<keyed_record> take_batch();
   void on_batch_recorded(time_point now);
   // The store has shown that this owner was the newest at some time since `at`.
--- a/coltsfoot/jobs/job_owner_handovers.cc
+++ b/coltsfoot/jobs/job_owner_handovers.cc
@@ -99,6 +99,7 @@
   copy.started = true;
   for (auto& task : copy.tasks) task.phase = task_phase::elsewhere;
   new_copies_.insert(accepted.id);
+  mark_changed(copy);
   return copy;
 }
 
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -41,7 +41,9 @@
   return task.phase == task_phase::waiting && task.run == 0;
 }
 
-void write_tasks(byte_writer& out, const job& j) {
+enum class checkpoint_use { written, left_out };
+
+void write_tasks(byte_writer& out, const job& j, checkpoint_use checkpoints) {
   life_dictionary lives;
   byte_writer rows;
   std::uint64_t count = 0;
@@ -56,7 +58,8 @@
     rows.number(task.run);
     rows.number(task.failures);
     if (task.phase == task_phase::assigned) rows.number(lives.number_of(task.life));
-    if (task.phase != task_phase::done) rows.text(task.checkpoint);
+    if (task.phase == task_phase::done) continue;
+    rows.text(checkpoints == checkpoint_use::written ? task.checkpoint : std::string{});
   }
   out.number(lives.lives().size());
   for (const auto& life : lives.lives()) {
@@ -67,6 +70,16 @@
   out.text(rows.bytes());
 }
 
+keyed_record progress_record(const job& j, checkpoint_use checkpoints) {
+  byte_writer out;
+  out.number(progress_version);
+  out.number(static_cast<std::uint64_t>(j.outcome));
+  out.number(j.started ? 1 : 0);
+  out.number(static_cast<std::uint64_t>(j.ended_at.time_since_epoch().count()));
+  if (!j.ended()) write_tasks(out, j, checkpoints);
+  return {.key = std::string{progress_prefix} + j.accepted.id.value, .value = out.take()};
+}
+
 bool read_task(byte_reader& rows, const std::vector<worker_life>& lives, task_progress& task) {
   const auto phase = rows.number();
   if (phase > static_cast<std::uint64_t>(task_phase::elsewhere)) return false;
@@ -224,16 +237,11 @@
   return key.substr(0, key.rfind('/'));
 }
 
-keyed_record progress_record(const job& j) {
-  byte_writer out;
-  out.number(progress_version);
-  out.number(static_cast<std::uint64_t>(j.outcome));
-  out.number(j.started ? 1 : 0);
-  out.number(static_cast<std::uint64_t>(j.ended_at.time_since_epoch().count()));
-  if (!j.ended()) write_tasks(out, j);
-  return {.key = std::string{progress_prefix} + j.accepted.id.value, .value = out.take()};
+keyed_record progress_record(const job& j, std::size_t max_bytes) {
+  auto record = progress_record(j, checkpoint_use::written);
+  if (record.key.size() + record.value.size() <= max_bytes) return record;
+  return progress_record(j, checkpoint_use::left_out);
 }
-
 keyed_record handover_record(const job_id& id, task_index task, const task_handover& handover) {
   return {.key = handover_key(id, task), .value = encode_msgpack(handover)};
 }
--- a/coltsfoot/jobs/job_record.h
+++ b/coltsfoot/jobs/job_record.h
@@ -63,7 +63,8 @@
 keyed_record cancellation_removal(const job_id& id);
 // Key of the record of the job's acceptance.
 std::string acceptance_key(const job_id& id);
-keyed_record progress_record(const job& j);
+// Without checkpoints if the record would be larger than `max_bytes` with them.
+keyed_record progress_record(const job& j, std::size_t max_bytes);
 keyed_record handover_record(const job_id& id, task_index task, const task_handover& handover);
 keyed_record claim_record(const owner_claim& claim);
 keyed_record layout_record(const fleet_layout& layout);
--- a/coltsfoot/jobs/job_record_test.cc
+++ b/coltsfoot/jobs/job_record_test.cc
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <limits>
 
+#include "coltsfoot/jobs/store_limits.h"
+
 namespace coltsfoot::jobs {
 namespace {
 
@@ -47,9 +49,9 @@
   ASSERT_TRUE(copy.apply(acceptance_record(sample_job())));
   auto other = *copy.table.find(job_id{"j"});
   other.outcome = job_outcome::completed;
-  ASSERT_TRUE(copy.apply(progress_record(other), false));
+  ASSERT_TRUE(copy.apply(progress_record(other, store_limits{}.record_bytes), false));
   EXPECT_FALSE(copy.table.find(job_id{"j"})->ended());
-  ASSERT_TRUE(copy.apply(progress_record(other), true));
+  ASSERT_TRUE(copy.apply(progress_record(other, store_limits{}.record_bytes), true));
   EXPECT_EQ(state_of(*copy.table.find(job_id{"j"})), job_state::completed);
 }
 
@@ -84,6 +86,22 @@
   }));
 }
 
+// Guards against progress that the store refuses for its size: nothing would be recorded any more.
+TEST(job_record_test, the_progress_of_the_largest_job_fits_into_a_record) {
+  journal_copy copy;
+  auto accepted = sample_job();
+  accepted.spec.steps = {{.count = most_tasks_per_job}};
+  ASSERT_TRUE(copy.apply(acceptance_record(accepted)));
+  auto& j = *copy.table.find(job_id{"j"});
+  for (auto& task : j.tasks) {
+    task = {.phase = task_phase::waiting, .run = 70'000, .checkpoint = std::string(30, 'c')};
+  }
+  const auto record = progress_record(j, store_limits{}.record_bytes);
+  EXPECT_LE(size_of(record), store_limits{}.record_bytes);
+  ASSERT_TRUE(copy.apply(record));
+  EXPECT_EQ(j.tasks.back().run, 70'000U) << "all but the checkpoints is kept";
+}
+
 RC_GTEST_PROP(job_record_test, progress_is_read_as_it_was_written, ()) {
   journal_copy copy;
   RC_ASSERT(copy.apply(acceptance_record(sample_job())).has_value());
@@ -100,7 +118,7 @@
     if (task.phase != task_phase::done) task.checkpoint = *rc::gen::arbitrary<std::string>();
   }
   changed.recount();
-  RC_ASSERT(copy.apply(progress_record(changed)).has_value());
+  RC_ASSERT(copy.apply(progress_record(changed, store_limits{}.record_bytes)).has_value());
   const auto& read = *copy.table.find(job_id{"j"});
   RC_ASSERT(read.open_tasks == changed.open_tasks);
   for (std::size_t i = 0; i < read.tasks.size(); ++i) {
@@ -120,9 +138,11 @@
 RC_GTEST_PROP(job_record_test, malformed_records_change_nothing, (const std::string& value)) {
   journal_copy copy;
   RC_ASSERT(copy.apply(acceptance_record(sample_job())).has_value());
-  const auto before = progress_record(*copy.table.find(job_id{"j"})).value;
+  const auto before =
+      progress_record(*copy.table.find(job_id{"j"}), store_limits{}.record_bytes).value;
   if (!copy.apply({.key = "progress/j", .value = value}) || value.empty()) {
-    RC_ASSERT(progress_record(*copy.table.find(job_id{"j"})).value == before);
+    RC_ASSERT(progress_record(*copy.table.find(job_id{"j"}), store_limits{}.record_bytes).value ==
+              before);
   }
   RC_ASSERT(!copy.apply({.key = "acceptance/k", .value = "x" + value}).has_value());
   RC_ASSERT(copy.table.find(job_id{"k"}) == nullptr);
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "coltsfoot/base/hash.h"
@@ -244,6 +245,7 @@
   owner_sequence_ = claim_sequence_ + 1;
   owner_batch_open_ = false;
   owner_batch_.clear();
+  owner_part_begin_ = 0;
   owner_append_call_ = 0;
   last_owner_record_ = context_.now;
   layout_to_record_.reset();
@@ -268,6 +270,7 @@
   owner_append_call_ = 0;
   owner_batch_open_ = false;
   owner_batch_.clear();
+  owner_part_begin_ = 0;
   layout_to_record_.reset();
   // The table holds progress that is not in the journal.
   state_.table = {};
@@ -326,10 +329,13 @@
   if (!owner_batch_open_) return;
   owner_append_call_ = context_.new_call();
   ++context_.stats.appends;
+  owner_part_end_ = end_of_append(owner_batch_, owner_part_begin_, context_.options.store);
+  const auto part =
+      std::span{owner_batch_}.subspan(owner_part_begin_, owner_part_end_ - owner_part_begin_);
   context_.push(append_to_jobs{
       .call = owner_append_call_,
       .shard = number_,
-      .records = owner_batch_,
+      .records = {part.begin(), part.end()},
       .sequence = append_sequence{.fence = state_.claim.fence, .number = owner_sequence_},
       .timeout = context_.options.append_timeout});
 }
@@ -347,6 +353,9 @@
   switch (verdict) {
     case append_verdict::recorded:
       ++owner_sequence_;
+      owner_part_begin_ = owner_part_end_;
+      if (owner_part_begin_ < owner_batch_.size()) return;
+      owner_part_begin_ = 0;
       owner_batch_open_ = false;
       apply_transfers(owner_batch_);
       owner_batch_.clear();
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -152,6 +152,9 @@
   call_id owner_append_call_ = 0;
   bool owner_batch_open_ = false;  // taken, and not known as recorded
   time_point owner_batch_sent_{};  // when it was sent first
+  // A batch beyond what the store takes at once is appended in parts.
+  std::size_t owner_part_begin_ = 0;
+  std::size_t owner_part_end_ = 0;
   time_point next_owner_append_{};
   duration append_gap_{0};
   time_point last_owner_record_{};
--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -55,10 +55,9 @@
   if (caller_append_call_ != 0 || caller_appends_.empty() || context_.now < next_caller_append_)
     return;
   std::vector<keyed_record> records;
-  for (const auto& [key, entry] : caller_appends_) {
-    records.push_back(entry.record);
-    caller_batch_.insert(key);
-  }
+  for (const auto& [key, entry] : caller_appends_) records.push_back(entry.record);
+  records.resize(end_of_append(records, 0, context_.options.store));
+  for (const auto& record : records) caller_batch_.insert(record.key);
   caller_append_call_ = context_.new_call();
   ++context_.stats.appends;
   context_.push(append_to_jobs{.call = caller_append_call_,
--- a/tests/jobs/job_fleet_test.cc
+++ b/tests/jobs/job_fleet_test.cc
@@ -443,6 +443,31 @@
   EXPECT_EQ(fleet.answer_of(refused)->verdict, caller_verdict::malformed);
 }
 
+// Guards against an owner that tries an append which is too large again and again.
+TEST(job_fleet_test, more_progress_than_an_append_holds_is_recorded_in_parts) {
+  virtual_fleet fleet{{.workers = 1, .store = {.append_bytes = 1'200}}};
+  wait_until_settled(fleet);
+  constexpr int jobs = 100;
+  jobs::job_spec spec{.payload = "p", .steps = {step(1, duration{2'000})}};
+  spec.steps[0].demand = {.millicores = 50, .memory_mb = 50};
+  const auto id = [](int i) { return "j" + std::to_string(i); };
+  for (int i = 0; i < jobs; ++i) {
+    fleet.submit(i % 3, id(i), spec);
+    fleet.run_for(duration{5});
+  }
+  fleet.run_for(duration{500});
+  ASSERT_EQ(fleet.starts(), 100U);
+  // All of them end meanwhile.
+  fleet.set_store_down(true);
+  fleet.run_for(duration{3'000});
+  fleet.set_store_down(false);
+  for (int i = 0; i < jobs; ++i) {
+    EXPECT_TRUE(fleet.reaches(i % 3, id(i), job_state::completed, duration{4'000})) << id(i);
+  }
+  EXPECT_EQ(fleet.starts(), 100U);
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
 TEST(job_fleet_test, a_compacted_history_is_read_again) {
   virtual_fleet fleet{{}};
   wait_until_settled(fleet);
