Read records that are larger than a page

Reads of a topic ask for 64 KB, records may have 256 KB. If the store answers such a read without a record, the same read was sent again and again. The next one asks for twice as much now, up to 1 MB.

a_record_that_does_not_fit_into_a_page_is_asked_for_with_a_larger_one is new; it tests a field that the former code doesn't have. Whether the users' store answers without a record, or with one that is too long, was not tried.

--- a/coltsfoot/jobs/topic_follower.cc
+++ b/coltsfoot/jobs/topic_follower.cc
@@ -12,7 +12,7 @@
   if (!listed_) return list_request{.after = list_after_, .patience = list_patience_};
   tail_sent_ = now;
   const auto wait = caught_up_ ? options_.poll_wait : duration{0};
-  return tail_request{.from = position_, .wait = wait};
+  return tail_request{.from = position_, .wait = wait, .page_bytes = page_bytes_};
 }
 
 std::optional<topic_change> topic_follower::on_page(list_page page, time_point now) {
@@ -36,6 +36,9 @@
 std::optional<topic_change> topic_follower::on_page(tail_page page, time_point now) {
   if (take_stale()) return std::nullopt;
   succeeded(now);
+  const bool record_is_larger = page.next == position_ && page.next < page.end;
+  page_bytes_ = record_is_larger ? std::min(2 * page_bytes_, options_.longest_page_bytes)
+                                 : options_.page_bytes;
   position_ = page.next;
   caught_up_ = page.next >= page.end;
   if (caught_up_) {
--- a/coltsfoot/jobs/topic_follower.h
+++ b/coltsfoot/jobs/topic_follower.h
@@ -6,6 +6,7 @@
 //   for (auto& change : follower.on_page(page, now)) apply(change);
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +28,10 @@
   // than an answer that is lost should be waited for. Doubles with each failed page.
   duration first_list_patience{1'000};
   duration longest_list_patience{4'000};
+  // Reads of several topics share a link: small pages keep what was read if one of them fails.
+  std::size_t page_bytes = std::size_t{64} * 1024;
+  // A record that does not fit into a page is asked for with a larger one.
+  std::size_t longest_page_bytes = std::size_t{1024} * 1024;
 };
 
 // Reads the newest records of all keys above `after`.
@@ -38,6 +43,7 @@
 struct tail_request {
   log_offset from = 0;
   duration wait{0};
+  std::size_t page_bytes = 0;
 };
 using follow_request = std::variant<list_request, tail_request>;
 
@@ -61,7 +67,9 @@
 class topic_follower {
  public:
   explicit topic_follower(topic_follower_options options)
-      : options_(options), list_patience_(options.first_list_patience) {}
+      : options_(options),
+        page_bytes_(options.page_bytes),
+        list_patience_(options.first_list_patience) {}
 
   // Returns the next read to send, or nothing if one is under way or none is due.
   std::optional<follow_request> next_request(time_point now);
@@ -108,6 +116,7 @@
   time_point tail_sent_{};  // when the newest read of the tail was sent
   std::optional<time_point> complete_until_;
   log_offset position_ = 0;
+  std::size_t page_bytes_;
   time_point due_{};
   duration backoff_{0};
   duration list_patience_;
--- a/coltsfoot/jobs/topic_follower_test.cc
+++ b/coltsfoot/jobs/topic_follower_test.cc
@@ -47,6 +47,20 @@
   EXPECT_FALSE(follower.complete_until());
 }
 
+// Guards against reading the same place for ever because a record is larger than a page.
+TEST(topic_follower_test, a_record_that_does_not_fit_into_a_page_is_asked_for_with_a_larger_one) {
+  topic_follower follower{{.page_bytes = 100, .longest_page_bytes = 350}};
+  follower.next_request(start);
+  follower.on_page(list_page{.end = 3}, start);
+  for (const std::size_t bytes : {100U, 200U, 350U, 350U}) {
+    EXPECT_EQ(tail_of(follower.next_request(start)).page_bytes, bytes);
+    follower.on_page(tail_page{.next = 3, .end = 4}, start);
+  }
+  follower.next_request(start);
+  follower.on_page(tail_page{.next = 4, .end = 4}, start);
+  EXPECT_EQ(tail_of(follower.next_request(start + duration{500})).page_bytes, 100U);
+}
+
 TEST(topic_follower_test, is_caught_up_when_a_read_reaches_the_end) {
   topic_follower follower{{}};
   follower.next_request(start);
