--- a/tests/soak/cut_listener.h
+++ b/tests/soak/cut_listener.h
@@ -34,15 +34,18 @@
   bool start() { return listener_.start().has_value(); }
   std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
 
+  // Cuts may overlap: the listener is whole again once each of them has been healed.
   void cut(cut_kind kind) {
     const std::lock_guard lock{mutex_};
-    kind_ = kind;
+    ++cuts_;
+    if (kind_ != cut_kind::both_ways) kind_ = kind;
   }
   // `late`: whether the calls that were held up are executed now, without an answer.
   void heal(bool late) {
     std::vector<rest_request> held;
     {
       const std::lock_guard lock{mutex_};
+      if (--cuts_ > 0) return;
       kind_ = cut_kind::none;
       held = std::exchange(held_, {});
     }
@@ -75,6 +78,7 @@
 
   rest_handler handler_;
   mutable std::mutex mutex_;
+  int cuts_ = 0;
   cut_kind kind_ = cut_kind::none;
   std::vector<rest_request> held_;
   std::vector<rest_responder> silent_;
--- a/tests/soak/fault_series.cc
+++ b/tests/soak/fault_series.cc
@@ -10,7 +10,7 @@
 
 constexpr std::int64_t shortest_fault_ms = 500;
 constexpr std::int64_t longest_fault_ms = 11'000;
-constexpr std::int64_t longest_gap_ms = 1'500;
+constexpr std::int64_t longest_gap_ms = 4'000;
 
 }  // namespace
 
@@ -85,7 +85,7 @@
 }
 
 void fault_series::cut_node_from_store() {
-  const auto node = draw(fleet_.node_count());
+  const auto node = draw_node();
   cut_store(node, chance(3) ? cut_kind::answers_only : cut_kind::both_ways);
   begin(fmt::format("store_cut node={}", node),
         shortest_fault_ms + static_cast<std::int64_t>(draw(longest_fault_ms)),
@@ -93,7 +93,7 @@
 }
 
 void fault_series::cut_node_from_workers() {
-  const auto node = draw(fleet_.node_count());
+  const auto node = draw_node();
   std::vector<std::size_t> cut;
   for (std::size_t worker = 0; worker < fleet_.workers().size(); ++worker) {
     if (chance(2)) cut.push_back(worker);
@@ -106,7 +106,7 @@
 }
 
 void fault_series::cut_one_pair() {
-  const auto node = draw(fleet_.node_count());
+  const auto node = draw_node();
   const auto worker = draw(fleet_.workers().size());
   cut_pair(worker, node, chance(2) ? cut_kind::answers_only : cut_kind::both_ways);
   begin(fmt::format("pair_cut node={} worker={}", node, worker),
@@ -139,7 +139,7 @@
 
 // A node keeps nothing but some workers that nobody else reaches.
 void fault_series::lose_the_store_but_one_worker() {
-  const auto node = draw(fleet_.node_count());
+  const auto node = draw_node();
   const auto kept = draw(fleet_.workers().size());
   cut_store(node, cut_kind::both_ways);
   for (std::size_t worker = 0; worker < fleet_.workers().size(); ++worker) {
@@ -161,7 +161,7 @@
 }
 
 void fault_series::pause_node() {
-  const auto node = draw(fleet_.node_count());
+  const auto node = draw_node();
   if (!fleet_.node(node).runs() || fleet_.node(node).paused()) return;
   fleet_.node(node).pause(true);
   begin(fmt::format("paused node={}", node),
@@ -171,7 +171,7 @@
 }
 
 void fault_series::end_node(int signal) {
-  const auto node = draw(fleet_.node_count());
+  const auto node = draw_node();
   if (!fleet_.node(node).runs()) return;
   if (signal == SIGTERM) {
     // It ends by itself within its grace period, while other faults go on.
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -30,6 +30,8 @@
   };
 
   std::size_t draw(std::size_t bound) { return static_cast<std::size_t>(random_() % bound); }
+  // Half of the faults of a node are the owner's.
+  std::size_t draw_node() { return chance(2) ? fleet_.owner() : draw(fleet_.node_count()); }
   bool chance(std::size_t one_in) { return draw(one_in) == 0; }
   void begin(std::string name, std::int64_t length_ms, std::function<void()> mend);
   void begin_one();
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -152,6 +152,14 @@
   });
 }
 
+std::size_t soak_fleet::owner() {
+  const auto claim = store_.newest("keyed.jobs", "owner");
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (claim.find(nodes_[i]->name()) != std::string::npos) return i;
+  }
+  return 0;
+}
+
 // --- Callers ---
 
 http_request soak_fleet::request_to(std::size_t node, const std::string& method,
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -42,6 +42,7 @@
   bool runs() const { return process_ != nullptr; }
   bool paused() const { return paused_; }
   void pause(bool paused);
+  const std::string& name() const { return name_; }
   const std::string& caller_address() const { return caller_address_; }
   const std::string& readiness_address() const { return readiness_address_; }
 
@@ -87,6 +88,8 @@
   worker_servers& workers() { return workers_; }
   soak_node& node(std::size_t number) { return *nodes_.at(number); }
   std::size_t node_count() const { return nodes_.size(); }
+  // The node whose claim of the jobs is the newest in the store.
+  std::size_t owner();
 
   // --- Callers ---
   // Hands a job in at a node; repeated at others until the outcome is certain.
--- a/tests/soak/store_server.cc
+++ b/tests/soak/store_server.cc
@@ -77,6 +77,13 @@
   answer_reads();
 }
 
+std::string store_server::newest(const std::string& topic, const std::string& key) {
+  const std::lock_guard lock{mutex_};
+  const auto& values = partitions_[{topic, 0}].newest;
+  const auto found = values.find(key);
+  return found == values.end() ? std::string{} : found->second.value;
+}
+
 void store_server::set_down(bool down) {
   const std::lock_guard lock{mutex_};
   down_ = down;
--- a/tests/soak/store_server.h
+++ b/tests/soak/store_server.h
@@ -32,6 +32,8 @@
   void set_address_source(std::function<std::string(const std::string& key, std::size_t node)> at) {
     address_at_ = std::move(at);
   }
+  // The newest value of a key in the first partition of a topic; empty if there is none.
+  std::string newest(const std::string& topic, const std::string& key);
   // While set, no call is answered by the store.
   void set_down(bool down);
   // From now on appends for callers are not answered and are executed this much later; 0: as ever.
