--- a/tests/soak/fleet_soak.cc
+++ b/tests/soak/fleet_soak.cc
@@ -105,8 +105,10 @@
   const std::vector<poptOption> table{
       {"seed", 0, POPT_ARG_LONG, &options.seed, 0, "seed of the faults and jobs", "N"},
       {"seconds", 0, POPT_ARG_LONG, &options.seconds, 0, "how long faults come", "S"},
-      {"folder", 0, POPT_ARG_STRING, &folder, 0, "for logs and the record", "PATH"},
-      {"program", 0, POPT_ARG_STRING, &program, 0, "coltsfoot_fleetd to run", "PATH"},
+      {"folder", 0, POPT_ARG_STRING, static_cast<void*>(&folder), 0, "for logs and the record",
+       "PATH"},
+      {"program", 0, POPT_ARG_STRING, static_cast<void*>(&program), 0, "coltsfoot_fleetd to run",
+       "PATH"},
       POPT_AUTOHELP POPT_TABLEEND};
   auto* context = poptGetContext(nullptr, argc, argv, table.data(), 0);
   const int parsed = poptGetNextOpt(context);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -45,7 +45,7 @@
 // --- One process ---
 
 soak_node::soak_node(const soak_fleet_options& options, std::size_t number,
-                     std::string store_address)
+                     const std::string& store_address)
     : program_(options.program),
       folder_(options.folder),
       name_(fmt::format("node-{}", number)),
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -30,7 +30,8 @@
 // One process, which may be stopped and started again on its addresses.
 class soak_node {
  public:
-  soak_node(const soak_fleet_options& options, std::size_t number, std::string store_address);
+  soak_node(const soak_fleet_options& options, std::size_t number,
+            const std::string& store_address);
 
   void start();
   void signal(int number) const;
