--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -55,6 +55,7 @@
   if (caller_append_call_ != 0 || caller_appends_.empty() || context_.now < next_caller_append_)
     return;
   std::vector<keyed_record> records;
+  records.reserve(caller_appends_.size());
   for (const auto& [key, entry] : caller_appends_) records.push_back(entry.record);
   records.resize(end_of_append(records, 0, context_.options.store));
   for (const auto& record : records) caller_batch_.insert(record.key);
