--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -33,13 +33,6 @@
   }
 }
 
-std::string configuration() {
-  const json route{{"name", "r"},        {"host", host},          {"pathPrefix", prefix},
-                   {"service", "svc"},   {"priority", 0},         {"maxAttempts", 4},
-                   {"slackFactor", 1.5}, {"targetLatencyMs", 250}};
-  return json{{"version", 7}, {"routes", {route}}, {"services", {{{"name", "svc"}}}}}.dump();
-}
-
 }  // namespace
 
 // --- One process ---
@@ -129,7 +122,7 @@
   if (!store_.start()) return false;
   store_.set_address_source(
       [this](const std::string& id, std::size_t node) { return workers_.address_at(id, node); });
-  store_.put("keyed.op", "config", configuration());
+  store_.put("keyed.op", "config", configuration(host, prefix));
   for (std::size_t i = 0; i < options_.workers; ++i) {
     const bool added = workers_.add({.id = fmt::format("w-{:02}", i),
                                      .zone = zones.at(zone_of_worker(i)),
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -14,7 +14,7 @@
 
 #include "coltsfoot/transport/http_client.h"
 #include "tests/process/support/child_process.h"
-#include "tests/soak/worker_servers.h"
+#include "tests/soak/standin/worker_servers.h"
 
 namespace coltsfoot::testing {
 
--- a/tests/soak/store_server.cc
+++ b/tests/soak/standin/store_server.cc
@@ -1,4 +1,4 @@
-#include "tests/soak/store_server.h"
+#include "tests/soak/standin/store_server.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -48,6 +48,13 @@
 
 }  // namespace
 
+std::string configuration(const std::string& host, const std::string& prefix) {
+  const json route{{"name", "r"},        {"host", host},          {"pathPrefix", prefix},
+                   {"service", "svc"},   {"priority", 0},         {"maxAttempts", 4},
+                   {"slackFactor", 1.5}, {"targetLatencyMs", 250}};
+  return json{{"version", 7}, {"routes", {route}}, {"services", {{{"name", "svc"}}}}}.dump();
+}
+
 store_server::store_server(std::size_t nodes, const soak_record& record) : record_(record) {
   for (std::size_t node = 0; node < nodes; ++node) {
     listeners_.push_back(std::make_unique<cut_listener>(
--- a/tests/soak/store_server.h
+++ b/tests/soak/standin/store_server.h
@@ -12,11 +12,14 @@
 #include <utility>
 #include <vector>
 
-#include "tests/soak/cut_listener.h"
-#include "tests/soak/soak_clock.h"
+#include "tests/soak/standin/cut_listener.h"
+#include "tests/soak/standin/soak_clock.h"
 
 namespace coltsfoot::testing {
 
+// The operator's configuration of one queue.
+std::string configuration(const std::string& host, const std::string& prefix);
+
 class store_server {
  public:
   store_server(std::size_t nodes, const soak_record& record);
--- a/tests/soak/worker_servers.cc
+++ b/tests/soak/standin/worker_servers.cc
@@ -1,4 +1,4 @@
-#include "tests/soak/worker_servers.h"
+#include "tests/soak/standin/worker_servers.h"
 
 #include <algorithm>
 #include <chrono>
--- a/tests/soak/worker_servers.h
+++ b/tests/soak/standin/worker_servers.h
@@ -15,7 +15,7 @@
 #include <thread>
 #include <vector>
 
-#include "tests/soak/store_server.h"
+#include "tests/soak/standin/store_server.h"
 
 namespace coltsfoot::testing {
 
