--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -18,9 +18,9 @@
 // share of the processor that placing takes while no room is left for many waiting jobs.
 constexpr std::size_t judged_per_ms = 200;
 
-// A job that waits this long with a long-running task leaves a log line, once a second.
+// A job that waits this long for room leaves a log line, once a second.
 constexpr duration long_wait{2'000};
-constexpr std::size_t most_wait_lines = 4;
+constexpr std::size_t most_wait_lines = 4;  // of long-running tasks, and of others
 
 }  // namespace
 
@@ -76,16 +76,18 @@
   return used < capacity / 2;
 }
 
-// Tells of long-running tasks that have waited long, and why no worker can take them.
+// Tells of tasks that have waited long, and why no worker can take them.
 void job_owner::log_long_waits(time_point now) const {
-  std::size_t lines = 0;
+  std::size_t long_running_lines = 0;
+  std::size_t other_lines = 0;
   for (const auto& [id, since] : waiting_) {
     const auto* j = table_.find(id);
     if (j == nullptr || now - since < long_wait) continue;
     const auto& steps = j->accepted.spec.steps;
     for (std::uint32_t step = 0; step < steps.size(); ++step) {
-      if (!steps[step].long_running || !j->step_ready(0, step)) continue;
-      if (log_wait(*j, step, now - since, now) && ++lines == most_wait_lines) return;
+      auto& lines = steps[step].long_running ? long_running_lines : other_lines;
+      if (lines == most_wait_lines || !j->step_ready(0, step)) continue;
+      if (log_wait(*j, step, now - since, now)) ++lines;
     }
   }
 }
@@ -110,9 +112,11 @@
   const auto ref = j.ref_of(static_cast<task_index>(task - j.tasks.begin()));
   const auto& demand = request.step->demand;
   log(severity::warning,
-      fmt::format("event=task_waits {} job_waited_ms={} tasks={} millicores={} memory_mb={}{}",
+      fmt::format("event=task_waits {} job_waited_ms={} tasks={} long_running={} fill={} "
+                  "millicores={} memory_mb={}{}",
                   log_text({.task = ref, .run = task->run}), waited.count(), tasks,
-                  demand.millicores, demand.memory_mb, counts));
+                  request.step->long_running, request.step->fill, demand.millicores,
+                  demand.memory_mb, counts));
   return true;
 }
 
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -132,9 +132,12 @@
   resources used;
   resources largest;  // room on one usable worker, each kind by itself
   std::int64_t fill = 0;
+  std::int64_t long_running = 0;
+  std::size_t half_free = 0;  // usable workers with half of their processors free
   for (const auto& [id, link] : links_) {
     if (link.usable(now)) {
       ++usable;
+      if (2 * link.free().millicores >= link.listing->capacity.millicores) ++half_free;
       const auto free = link.free();
       largest.millicores = std::max(largest.millicores, free.millicores);
       largest.memory_mb = std::max(largest.memory_mb, free.memory_mb);
@@ -144,13 +147,16 @@
     runs += link.runs.size();
     used += link.used;
     fill += link.fill_millicores;
+    long_running += link.long_running_millicores;
   }
   log(severity::info,
       fmt::format("event=fleet_load workers={} usable={} serving={} runs={} "
-                  "waiting_jobs={} capacity_millicores={} used_millicores={} fill_millicores={} "
+                  "waiting_jobs={} capacity_millicores={} used_millicores={} "
+                  "long_running_millicores={} fill_millicores={} half_free_workers={} "
                   "largest_free_millicores={} largest_free_memory_mb={}",
                   links_.size(), usable, serving, runs, waiting_.size(), capacity.millicores,
-                  used.millicores, fill, largest.millicores, largest.memory_mb));
+                  used.millicores, long_running, fill, half_free, largest.millicores,
+                  largest.memory_mb));
   const auto median_ms = [](const latency_histogram& values) {
     return std::chrono::duration_cast<duration>(values.quantile(0.5)).count();
   };
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -45,6 +45,7 @@
     ++serving;
     serving_millicores += run.demand.millicores;
   }
+  if (run.long_running) long_running_millicores += run.demand.millicores;
   runs.emplace(key, std::move(run));
 }
 
@@ -59,6 +60,7 @@
     --serving;
     serving_millicores -= run.demand.millicores;
   }
+  if (run.long_running) long_running_millicores -= run.demand.millicores;
   runs.erase(found);
 }
 
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -93,6 +93,7 @@
   std::int64_t paced_fill_millicores = 0;  // the same at the pace they were told
   std::int32_t serving = 0;
   std::int64_t serving_millicores = 0;
+  std::int64_t long_running_millicores = 0;
 
   time_point tails_at{};  // of the newest report with tails of serving tasks
   time_point paced_at{};  // when the pace of a run was changed last
