Add two failing tests of short tasks beside long-running ones

In a fleet that long-running tasks fill, short tasks of a third of a worker find no room although a quarter of all processors is free; and a long-running task that is refused because it must leave room counts as proof that a larger short one finds none.

--- a/coltsfoot/jobs/short_task_room_test.cc
+++ b/coltsfoot/jobs/short_task_room_test.cc
@@ -180,6 +180,27 @@
   return step;
 }
 
+// Room that was kept evenly on all workers was in pieces smaller than any of the short tasks.
+TEST_F(full_fleet_test, short_tasks_of_a_third_of_a_worker_find_room_beside_long_running_ones) {
+  add_workers(12);
+  submit("lasting", lasting_step(13'000, 60));
+  place();
+  const auto& short_job = submit("short", short_step(21'000, 3));
+  place();
+  EXPECT_EQ(assigned(short_job), 3);
+}
+
+// A long-running task that had to leave room counted as proof that no larger task fits.
+TEST_F(full_fleet_test, a_long_running_task_that_must_leave_room_does_not_hold_back_short_ones) {
+  add_workers(1);
+  const auto& lasting = submit("lasting", lasting_step(10'000, 8));
+  place();
+  ASSERT_EQ(assigned(lasting), 5);
+  const auto& short_job = submit("short", short_step(12'000, 1));
+  place();
+  EXPECT_EQ(assigned(short_job), 1);
+}
+
 // Without the line, nobody can tell what a short task waits for.
 TEST_F(full_fleet_test, a_short_task_that_waits_long_leaves_a_log_line_with_the_obstacles) {
   add_workers(2);
