Try short tasks although a long-running one must leave room for them

Callers: short jobs waited beside workers that had room for them. Cause: a demand that found no room counts as proof, for the rest of the placing pass, that no larger demand finds any. A long-running task that never ran is refused where it would use the room kept for short tasks; that refusal too counted as proof, against the very tasks for which the room is kept. Where long-running jobs always wait, they come first in each pass. Class: a negative result that is reused for a question with other rules. Fix: a refusal of a task that must leave room tells only of tasks that must leave room too. Elsewhere: needs_no_more_than() in the handover of tasks, the same kind of reuse, compares whether the task has run and is not affected. Test: a_long_running_task_that_must_leave_room_does_not_hold_back_short_ones failed before and passes now.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -198,7 +198,8 @@
     service_id service;
     bool fill = false;
     bool restart = false;
-    std::string image;  // of a filling task
+    bool leaves_room = false;  // the task had to leave room for short ones
+    std::string image;         // of a filling task
     resources demand;
   };
 
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -142,8 +142,10 @@
   const auto& step = *request.step;
   const auto& image = step.fill ? step.image : std::string{};
   return std::any_of(failed_demands_.begin(), failed_demands_.end(), [&](const auto& failed) {
-    return failed.service == request.service && failed.fill == step.fill && failed.image == image &&
-           (failed.restart || !request.restart) && failed.demand.fits_in(step.demand);
+    const bool comparable = !failed.leaves_room || request.leaves_room();
+    return comparable && failed.service == request.service && failed.fill == step.fill &&
+           failed.image == image && (failed.restart || !request.restart) &&
+           failed.demand.fits_in(step.demand);
   });
 }
 
@@ -163,6 +165,7 @@
   failed_demands_.push_back({.service = request.service,
                              .fill = step.fill,
                              .restart = request.restart,
+                             .leaves_room = request.leaves_room(),
                              .image = step.fill ? step.image : std::string{},
                              .demand = step.demand});
 }
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -79,10 +79,9 @@
   }
   if (needed.millicores > free.millicores) return placing_obstacle::processors;
   if (step.long_running) {
-    if (request.restart || leaves_room_for_short(step, link.listing->capacity, free)) {
-      return std::nullopt;
-    }
-    return placing_obstacle::kept_room;
+    const bool admitted =
+        !request.leaves_room() || leaves_room_for_short(step, link.listing->capacity, free);
+    return admitted ? std::nullopt : std::optional{placing_obstacle::kept_room};
   }
   if (!step.fill) return std::nullopt;
   if (link.idle_millicores() < step.demand.millicores) return placing_obstacle::processors;
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -37,6 +37,9 @@
   // disturbs least, however slow it must work there.
   bool starved = false;
   bool restart = false;  // the task has run before: it may use room that is kept for others
+
+  // Whether the task has to leave room for short ones.
+  bool leaves_room() const { return step->long_running && !restart; }
 };
 
 // Whether a long-running task leaves enough of a worker's free room to short ones, since it never
