Keep room for short tasks in pieces in which they fit

Cause: long-running tasks leave a tenth of the processors to short ones, but a tenth of each worker. Where long-running tasks fill the fleet, 9 to 19 % of the processors are free in each shard, and the largest piece on any worker is 17.6 of 64 or 96 (median), while the tasks ask for 21. Room that is given back goes to the next long-running task at once. Class: a reserve that is measured as a sum and needed in one piece.

Fix: the reserve is one quantity for a shard and a service, kept in pieces of half a worker, on the workers where long-running tasks hold least. The other workers may be filled. It follows what short tasks needed lately (running and waiting), from a tenth to a quarter of the processors. Shards with less than a piece to keep let each worker keep its tenth as before, or one piece for a short task that waits. Restarts use kept room as before.

--- a/coltsfoot/jobs/job_node_handovers.cc
+++ b/coltsfoot/jobs/job_node_handovers.cc
@@ -136,9 +136,11 @@
   }
   for (const auto& shard : shards_) {
     for_each_task(shard->table(), task_phase::assigned, [&](const job& j, task_index index) {
-      rooms.take(j.tasks[index].life.worker, held_by(j.step_of(j.ref_of(index))));
+      const auto& step = j.step_of(j.ref_of(index));
+      rooms.take(j.tasks[index].life.worker, held_by(step), step.long_running);
     });
   }
+  rooms.keep_room_for_short_tasks();
   for (const auto& shard : shards_) {
     for_each_task(shard->table(), task_phase::waiting, [&](const job& j, task_index index) {
       const auto need = need_of(j, index);
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -244,6 +244,9 @@
   void drop_early_cancels(time_point now);
 
   // Placing.
+  void plan_short_room(time_point now);
+  void note_unplaced(const placement_request& request, std::uint32_t tasks);
+  void observe_short_demand(time_point now);
   void note_starved(const job& j, time_point now);
   bool is_starved(const job& j, time_point now) const;
   bool much_room_is_free() const;
@@ -322,9 +325,12 @@
   time_point next_place_{};                     // when the next placing pass may begin
   worker_id last_tended_;
   std::vector<failed_demand> failed_demands_;  // of the present placing pass
-  std::size_t starts_left_ = 0;                // that the present placing pass may still decide
-  std::set<job_id> cancelling_;                // cancelled jobs with runs that have not ended
-  std::set<job_id> scheduled_;                 // jobs with occurrences that are not due yet
+  short_task_room short_room_;                 // as planned for the newest placing pass
+  std::map<service_id, short_task_figures> unplaced_short_;  // of the present placing pass
+  std::map<service_id, short_task_demand> short_demands_;
+  std::size_t starts_left_ = 0;  // that the present placing pass may still decide
+  std::set<job_id> cancelling_;  // cancelled jobs with runs that have not ended
+  std::set<job_id> scheduled_;   // jobs with occurrences that are not due yet
   std::map<job_id, time_point> early_cancels_seen_;  // of jobs that were not accepted, since when
 
   std::set<job_id> dirty_;                         // progress to be recorded
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -28,6 +28,8 @@
   wall_ = wall;
   if (waiting_.empty() || now < next_place_) return;
   failed_demands_.clear();
+  unplaced_short_.clear();
+  plan_short_room(now);
   judged_ = waiting_.size();
   room_is_free_ = much_room_is_free();
   starts_left_ =
@@ -45,9 +47,46 @@
     note_starved(*j, now);
     refresh_waiting(*j, now);
   }
+  observe_short_demand(now);
   next_place_ = now + duration{static_cast<std::int64_t>(judged_ / judged_per_ms)};
 }
 
+// Decides what first starts of long-running tasks leave to short ones in this pass.
+void job_owner::plan_short_room(time_point now) {
+  std::map<service_id, std::vector<long_running_load>> loads;
+  for (const auto& [id, link] : links_) {
+    if (!link.usable(now)) continue;
+    loads[link.listing->service].push_back(
+        {.worker = id,
+         .capacity_millicores = link.listing->capacity.millicores,
+         .held_millicores = link.long_running_millicores});
+  }
+  short_room_ = {};
+  for (auto& [service, workers] : loads) {
+    short_room_.keep(std::move(workers), short_demands_[service].at(now));
+  }
+}
+
+void job_owner::note_unplaced(const placement_request& request, std::uint32_t tasks) {
+  const auto& step = *request.step;
+  if (step.long_running || step.fill) return;
+  auto& unplaced = unplaced_short_[request.service];
+  unplaced.total += tasks * step.demand.millicores;
+  unplaced.largest_waiting = std::max(unplaced.largest_waiting, step.demand.millicores);
+}
+
+// Takes what short tasks hold and what they found no room for.
+void job_owner::observe_short_demand(time_point now) {
+  auto figures = std::exchange(unplaced_short_, {});
+  for (const auto& [id, link] : links_) {
+    if (!link.listing) continue;
+    figures[link.listing->service].total += link.used.millicores - link.long_running_millicores;
+  }
+  for (const auto& [service, of_service] : figures) {
+    short_demands_[service].observe(of_service, now);
+  }
+}
+
 void job_owner::note_starved(const job& j, time_point now) {
   const bool runs = std::any_of(j.tasks.begin(), j.tasks.end(), [](const auto& task) {
     return task.phase == task_phase::assigned;
@@ -173,7 +212,8 @@
 placement_request job_owner::request_for(const job& j, std::uint32_t occurrence,
                                          std::uint32_t step) const {
   const auto& spec = j.accepted.spec.steps[step];
-  placement_request request{.step = &spec, .service = j.accepted.service};
+  placement_request request{
+      .step = &spec, .service = j.accepted.service, .short_room = &short_room_};
   if (spec.max_per_worker == 0 && !spec.tightly_coupled) return request;
   const auto first = j.index_of({.occurrence = occurrence, .step = step});
   for (auto i = first; i < first + spec.count; ++i) {
@@ -211,7 +251,10 @@
       ranking.emplace(request, links_, model_, now);
     }
     auto* link = ranking ? ranking->best() : nullptr;
-    if (link == nullptr) continue;
+    if (link == nullptr) {
+      note_unplaced(request, 1);
+      continue;
+    }
     placed_starved = true;
     assign(j, i, *link, j.tasks[i].run + 1, now);
     --starts_left_;
@@ -255,6 +298,7 @@
     for (const auto& [link, index] : chosen) link->backoff.on_start(now);
     return;
   }
+  note_unplaced(request, last - first);
   // Nothing of it is recorded yet, so that the assignments can be undone.
   for (const auto& [link, index] : chosen) {
     link->remove({.job = j.accepted.id, .index = index});
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -152,11 +152,11 @@
   log(severity::info,
       fmt::format("event=fleet_load workers={} usable={} serving={} runs={} "
                   "waiting_jobs={} capacity_millicores={} used_millicores={} "
-                  "long_running_millicores={} fill_millicores={} half_free_workers={} "
-                  "largest_free_millicores={} largest_free_memory_mb={}",
+                  "long_running_millicores={} kept_for_short_millicores={} fill_millicores={} "
+                  "half_free_workers={} largest_free_millicores={} largest_free_memory_mb={}",
                   links_.size(), usable, serving, runs, waiting_.size(), capacity.millicores,
-                  used.millicores, long_running, fill, half_free, largest.millicores,
-                  largest.memory_mb));
+                  used.millicores, long_running, short_room_.kept_millicores(), fill, half_free,
+                  largest.millicores, largest.memory_mb));
   const auto median_ms = [](const latency_histogram& values) {
     return std::chrono::duration_cast<duration>(values.quantile(0.5)).count();
   };
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -11,9 +11,6 @@
 // The least headroom that a filling task may be expected to leave to serving ones.
 constexpr double least_expected_headroom = 1.35;
 
-// Share of a worker's processors that long-running tasks leave to short ones.
-constexpr int kept_for_short_percent = 10;
-
 // A filling task shows in the reports of its worker after this time.
 constexpr duration shows_after{1'200};
 
@@ -67,6 +64,12 @@
   return headroom;
 }
 
+bool leaves_short_room(const placement_request& request, const worker_link& link) {
+  static const short_task_room each_keeps_its_part;
+  const auto& room = request.short_room == nullptr ? each_keeps_its_part : *request.short_room;
+  return room.admits(link.life.worker, link.listing->capacity, link.free(), request.step->demand);
+}
+
 // Why the room that is left on a worker does not do; nothing if it does.
 std::optional<placing_obstacle> lacks_room(const placement_request& request,
                                            const worker_link& link, const interference_model& model,
@@ -79,8 +82,7 @@
   }
   if (needed.millicores > free.millicores) return placing_obstacle::processors;
   if (step.long_running) {
-    const bool admitted =
-        !request.leaves_room() || leaves_room_for_short(step, link.listing->capacity, free);
+    const bool admitted = !request.leaves_room() || leaves_short_room(request, link);
     return admitted ? std::nullopt : std::optional{placing_obstacle::kept_room};
   }
   if (!step.fill) return std::nullopt;
@@ -108,13 +110,6 @@
 
 }  // namespace
 
-bool leaves_room_for_short(const step_spec& step, const resources& capacity,
-                           const resources& free) {
-  const auto kept = capacity.millicores * kept_for_short_percent / 100;
-  const auto left = free.millicores - step.demand.millicores;
-  return left >= std::min(kept, step.demand.millicores);
-}
-
 std::uint32_t bearable_percent(const step_spec& step, const worker_link& link,
                                const interference_model& model, time_point now) {
   if (link.serving == 0) return full_speed;
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "coltsfoot/jobs/interference_model.h"
+#include "coltsfoot/jobs/short_task_room.h"
 #include "coltsfoot/jobs/worker_link.h"
 
 namespace coltsfoot::jobs {
@@ -37,16 +38,12 @@
   // disturbs least, however slow it must work there.
   bool starved = false;
   bool restart = false;  // the task has run before: it may use room that is kept for others
+  const short_task_room* short_room = nullptr;  // null: each worker keeps its part
 
   // Whether the task has to leave room for short ones.
   bool leaves_room() const { return step->long_running && !restart; }
 };
 
-// Whether a long-running task leaves enough of a worker's free room to short ones, since it never
-// gives back its room in time for them. It need not leave more than would let another task of its
-// size wait.
-bool leaves_room_for_short(const step_spec& step, const resources& capacity, const resources& free);
-
 // Why a task of the request can't be placed on the worker; nothing if it can.
 std::optional<placing_obstacle> obstacle_to(const placement_request& request,
                                             const worker_link& link,
--- a/coltsfoot/jobs/shard_rooms.h
+++ b/coltsfoot/jobs/shard_rooms.h
@@ -5,7 +5,8 @@
 //
 //   shard_rooms rooms{shards};
 //   rooms.add_worker(shard, listing);
-//   rooms.take(worker, demand_of_a_run);
+//   rooms.take(worker, demand_of_a_run, long_running);
+//   rooms.keep_room_for_short_tasks();
 //   if (const auto to = rooms.best_for(need, own)) rooms.reserve(*to, need);
 #pragma once
 
@@ -17,6 +18,7 @@
 
 #include "coltsfoot/jobs/fleet_layout.h"
 #include "coltsfoot/jobs/job.h"
+#include "coltsfoot/jobs/short_task_room.h"
 
 namespace coltsfoot::jobs {
 
@@ -32,12 +34,15 @@
 
 class shard_rooms {
  public:
-  explicit shard_rooms(std::size_t shards) : workers_(shards) {}
+  explicit shard_rooms(std::size_t shards) : workers_(shards), short_rooms_(shards) {}
 
   // The listing must outlive this object.
   void add_worker(shard_number shard, const worker_listing& listing);
   // Something that runs holds room on a worker, which is thereby known to live.
-  void take(const worker_id& worker, const resources& demand);
+  void take(const worker_id& worker, const resources& demand, bool long_running = false);
+  // Keeps room from first starts, once all that runs has taken its room. What short tasks have
+  // needed lately is known to the owner of a shard only.
+  void keep_room_for_short_tasks();
   // Takes room for a task on the worker of the shard that it leaves the least room on. Returns
   // whether there was any. Room that a first start takes is still there for tasks that have run.
   bool reserve(shard_number shard, const task_need& need);
@@ -50,13 +55,15 @@
     const worker_listing* listing = nullptr;
     resources free;
     resources first_starts;  // of `free`, taken for tasks that have never run
+    std::int64_t long_running_millicores = 0;
     bool runs_something = false;
   };
 
   static resources free_for(const task_need& need, const room& worker);
-  static bool suits(const room& worker, const task_need& need);
+  bool suits(shard_number shard, const room& worker, const task_need& need) const;
 
   std::vector<std::vector<room>> workers_;                               // by shard
+  std::vector<short_task_room> short_rooms_;                             // by shard
   std::map<worker_id, std::pair<shard_number, std::size_t>> positions_;  // in `workers_`
 };
 
