--- a/coltsfoot/jobs/short_task_room_plan_test.cc
+++ b/coltsfoot/jobs/short_task_room_plan_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<long_running_load> workers(const std::vector<std::int64_t>& held) {
   std::vector<long_running_load> loads;
+  loads.reserve(held.size());
   for (std::size_t i = 0; i < held.size(); ++i) {
     loads.push_back({.worker = name(static_cast<int>(i)),
                      .capacity_millicores = capacity.millicores,
