--- a/review/standin-2/runner_world.cc
+++ b/review/standin-2/runner_world.cc
@@ -193,7 +193,7 @@
 
 std::int64_t runner_world::worked_ms(const active_run& run) const {
   const auto since = work_of(run).gang ? run.at_work_since : std::optional{run.began};
-  return since ? run.resumed_ms + record_.now_ms() - *since : run.resumed_ms;
+  return since ? run.resumed_ms + now_ - *since : run.resumed_ms;
 }
 
 // The work that was done at the newest interval, and the job.
@@ -257,7 +257,7 @@
   if (old || there != r.active.end()) return reject("old");
   const auto name = parse_task(task);
   const auto checkpoint = order.value("checkpoint", std::string{});
-  active_run started{.job = name.job, .step = name.step, .run = run, .began = record_.now_ms()};
+  active_run started{.job = name.job, .step = name.step, .run = run, .began = now_};
   if (!checkpoint.empty()) started.resumed_ms = std::stoll(checkpoint.substr(0, 8), nullptr, 16);
   const auto used = used_millicores(r) + work_of(started).millicores;
   if (r.options.guards && used > r.options.millicores) return reject("room");
@@ -364,7 +364,7 @@
     std::int64_t resumed = members.front()->resumed_ms;
     for (const auto* member : members) resumed = std::min(resumed, member->resumed_ms);
     for (auto* member : members) {
-      member->at_work_since = record_.now_ms();
+      member->at_work_since = now_;
       member->resumed_ms = resumed;
     }
     record_.note(fmt::format("gang at work gang={} run={}", key.first, key.second));
@@ -389,7 +389,9 @@
   }
 }
 
+// All members of a gang end at the same moment.
 void runner_world::advance() {
+  now_ = record_.now_ms();
   for (const auto& r : runners_) {
     if (r->up) advance(*r);
   }
@@ -397,7 +399,7 @@
 }
 
 void runner_world::advance(runner& r) {
-  const auto now = record_.now_ms();
+  const auto now = now_;
   const bool lapsed = clock_of(r) >= r.lease_end;
   std::vector<std::pair<std::string, std::string>> over;
   for (const auto& [task, run] : r.active) {
--- a/review/standin-2/runner_world.h
+++ b/review/standin-2/runner_world.h
@@ -176,6 +176,7 @@
   std::map<gang_key, bool> broken_gangs_;
   std::vector<seen_start> starts_;
   std::vector<seen_end> ends_;
+  std::int64_t now_ = 0;  // of the newest advance
   bool stopping_ = false;
   std::thread world_;
 };
