--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -133,8 +133,11 @@
   keys.reserve(link.runs.size());
   for (const auto& [key, run] : link.runs) keys.push_back(key);
   log(severity::info,
-      fmt::format("event=worker_life_ended worker={} incarnation={} reason={} runs={}",
-                  log_value(link.life.worker.value), link.life.incarnation, reason, keys.size()));
+      fmt::format("event=worker_life_ended worker={} incarnation={} reason={} runs={} "
+                  "silent_ms={} lease_over_ms_ago={}",
+                  log_value(link.life.worker.value), link.life.incarnation, reason, keys.size(),
+                  link.last_contact ? (now - *link.last_contact).count() : -1,
+                  (now - link.lease.lapses_at()).count()));
   for (const auto& key : keys) lose_run(link, key, reason, now);
   link.seen_end = 0;
   link.recorded_end = 0;
@@ -145,9 +148,11 @@
 // have reached the new one, or may still do so.
 void job_owner::change_life(worker_link& link, const look_report& report, time_point now) {
   log(severity::info,
-      fmt::format("event=worker_life_changed worker={} former={} incarnation={} runs={}",
+      fmt::format("event=worker_life_changed worker={} former={} incarnation={} runs={} "
+                  "former_clock={} clock={} former_lease_over_in_ms={}",
                   log_value(link.life.worker.value), link.life.incarnation, report.incarnation,
-                  link.runs.size()));
+                  link.runs.size(), link.lease.newest_reading().value_or(-1), report.clock,
+                  (link.lease.lapses_at() - now).count()));
   link.life.incarnation = report.incarnation;
   ++link.former_lives;
   link.lease = lease_clock{now};
--- a/coltsfoot/jobs/lease_clock.h
+++ b/coltsfoot/jobs/lease_clock.h
@@ -36,6 +36,11 @@
     return end;
   }
 
+  // The newest reading of the worker's clock; nothing before the first one.
+  std::optional<worker_clock> newest_reading() const {
+    return sample_ ? std::optional{sample_->clock} : std::nullopt;
+  }
+
   // From this time on, no lease lasts that this or a former owner granted.
   time_point lapses_at() const { return lapses_at_; }
 
