Add failing tests of workers that restart under their ids

The virtual runner shortens leases to its longest one, as the platform's runners do, and the virtual fleet lets orders that were sent to a worker which is down reach its next life.

--- /dev/null
+++ b/coltsfoot/jobs/job_owner_restart_test.cc
@@ -0,0 +1,209 @@
+// Tests of what the owner believes of a worker that has started again under its id.
+#include <gtest/gtest.h>
+
+#include "tests/jobs/one_worker_owner.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+class job_owner_restart_test : public one_worker_owner {
+ protected:
+  // The worker answers the newest look that waits for an answer.
+  void answer_look(std::uint64_t known, std::uint64_t incarnation, std::vector<running_row> running,
+                   std::vector<ended_row> ended = {}) {
+    const auto& polls = owner_->links().at(worker).open_polls;
+    const auto sent_at = polls.empty() ? now_ : polls.rbegin()->first;
+    const look_answer answer{.verdict = order_verdict::accepted,
+                             .report = {.clock = 1'000,
+                                        .incarnation = incarnation,
+                                        .running = std::move(running),
+                                        .ended = std::move(ended)}};
+    owner_->on_look_answer({.worker = worker, .incarnation = known}, answer, sent_at, now_);
+  }
+
+  // The registry lists the worker in a life.
+  void list(std::uint64_t incarnation, std::vector<std::string> labels = {"a", "r"}) {
+    auto listing = *owner_->links().at(worker).listing;
+    listing.incarnation = incarnation;
+    listing.labels = std::move(labels);
+    owner_->on_listing(listing, now_);
+  }
+
+  // The time from now until the owner gives up the only run, while the worker is silent.
+  duration time_until_given_up() {
+    const auto since = now_;
+    const auto& task = table_.find(job_name)->tasks[0];
+    while (task.phase == task_phase::assigned && now_ - since < duration{60'000}) {
+      pass(duration{25});
+    }
+    return now_ - since;
+  }
+
+  // The run of the job's task goes on in the life 2 of the worker.
+  void restart_with_run() {
+    start_first_run();
+    pass(duration{500});
+    answer_look(1, 1, {{.run = first_run_}});
+    pass(duration{500});
+    answer_look(1, 2, {{.run = first_run_}});
+    pass(duration{25});
+  }
+};
+
+// The lease of the former life's clock is shortened to the longest one that the worker grants.
+TEST_F(job_owner_restart_test, the_longest_lease_counts_after_a_restart) {
+  restart_with_run();
+  answer_look(2, 2, {{.run = first_run_}});
+  EXPECT_GE(time_until_given_up(), duration{10'200});
+}
+
+// An order for the former life may be carried out until one for the new life has been.
+TEST_F(job_owner_restart_test, a_restarted_worker_that_answers_no_more_keeps_its_run_for_longer) {
+  restart_with_run();
+  EXPECT_GE(time_until_given_up(), duration{22'200});
+}
+
+// Its lease would end at a time of the former clock, and its cursor would forget unknown ends.
+TEST_F(job_owner_restart_test, a_look_at_a_life_that_is_not_known_renews_and_forgets_nothing) {
+  start_first_run();
+  pass(duration{500});
+  answer_look(1, 1, {}, {{.number = 5, .run = first_run_, .end = run_end::failed}});
+  record();
+  pass(duration{25});
+  owner_->take_orders();
+  list(2);
+  const auto look = newest<look_order>();
+  ASSERT_TRUE(look) << "an earlier look waits for an answer of the former life";
+  const auto& order = std::get<look_order>(look->order);
+  EXPECT_FALSE(order.lease_end);
+  EXPECT_EQ(order.forget_up_to, 0U);
+  EXPECT_EQ(order.wait, duration{0});
+}
+
+TEST_F(job_owner_restart_test, nothing_starts_in_a_life_that_is_not_known) {
+  answer_look(1, 1, {});
+  list(2);
+  owner_->place(now_, wall_);
+  EXPECT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::waiting);
+  pass(duration{25});
+  answer_look(1, 2, {});
+  owner_->place(now_ + duration{1'000}, wall_);
+  EXPECT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::assigned);
+}
+
+// Entries of other writers must not keep a worker from work.
+TEST_F(job_owner_restart_test, an_entry_with_a_life_that_the_worker_denies_changes_nothing) {
+  start_first_run();
+  pass(duration{500});
+  answer_look(1, 1, {{.run = first_run_}});
+  list(2);
+  pass(duration{25});
+  answer_look(1, 1, {{.run = first_run_}});
+  EXPECT_TRUE(owner_->links().at(worker).usable(now_));
+  EXPECT_LE(time_until_given_up(), duration{7'000});
+}
+
+// An answer from before the entry says nothing of a restart since.
+TEST_F(job_owner_restart_test, an_answer_to_an_earlier_look_does_not_deny_a_restart) {
+  answer_look(1, 1, {});
+  pass(duration{500});
+  const auto sent_at = now_;
+  pass(duration{25});
+  list(2);
+  const look_answer answer{.verdict = order_verdict::accepted,
+                           .report = {.clock = 1'000, .incarnation = 1}};
+  owner_->on_look_answer({.worker = worker, .incarnation = 1}, answer, sent_at, now_);
+  EXPECT_FALSE(owner_->links().at(worker).usable(now_));
+}
+
+// Guards against work on a worker without the label that it requires.
+TEST_F(job_owner_restart_test, a_worker_gets_no_work_by_the_entry_of_its_former_life) {
+  answer_look(1, 1, {});
+  pass(duration{500});
+  answer_look(1, 2, {});
+  owner_->place(now_, wall_);
+  EXPECT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::waiting);
+  list(2, {"b", "r"});
+  owner_->place(now_ + duration{1'000}, wall_);
+  EXPECT_EQ(table_.find(job_name)->tasks[0].phase, task_phase::assigned);
+}
+
+// A cursor that reaches the next life would make it forget ends that nobody has seen.
+TEST_F(job_owner_restart_test, ends_are_forgotten_by_one_answered_look_only) {
+  start_first_run();
+  pass(duration{500});
+  answer_look(1, 1, {}, {{.number = 5, .run = first_run_, .end = run_end::failed}});
+  record();
+  const auto forgetting = newest<look_order>();
+  ASSERT_TRUE(forgetting);
+  EXPECT_EQ(std::get<look_order>(forgetting->order).forget_up_to, 5U);
+  owner_->on_look_answer({.worker = worker, .incarnation = 1},
+                         {.verdict = order_verdict::unanswered},
+                         owner_->links().at(worker).open_polls.rbegin()->first, now_);
+  pass(duration{800});
+  const auto repeated = newest<look_order>();
+  ASSERT_TRUE(repeated) << "it got no answer";
+  EXPECT_EQ(std::get<look_order>(repeated->order).forget_up_to, 5U);
+  answer_look(1, 1, {});
+  pass(duration{25});
+  const auto next = newest<look_order>();
+  ASSERT_TRUE(next);
+  EXPECT_EQ(std::get<look_order>(next->order).forget_up_to, 0U);
+}
+
+// Guards against a successor that counts the lease of a restarted worker as an ordinary one.
+TEST_F(job_owner_restart_test, a_restarted_worker_is_no_witness_until_its_former_leases_are_over) {
+  const auto life = [](std::uint64_t incarnation) {
+    return worker_life{.worker = worker, .incarnation = incarnation};
+  };
+  answer_look(1, 1, {});
+  const auto first = owner_->take_witness_record(now_);
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->value, witness_record({life(1)}).value);
+  owner_->on_witnesses_recorded();
+  pass(duration{1'500});
+  answer_look(1, 2, {});
+  list(2);
+  pass(duration{25});
+  answer_look(2, 2, {});
+  const auto without = owner_->take_witness_record(now_);
+  ASSERT_TRUE(without);
+  EXPECT_EQ(without->value, witness_record({}).value);
+  owner_->on_witnesses_recorded();
+  for (int i = 0; i < 6; ++i) {
+    pass(duration{2'000});
+    answer_look(2, 2, {});
+  }
+  const auto with = owner_->take_witness_record(now_);
+  ASSERT_TRUE(with);
+  EXPECT_EQ(with->value, witness_record({life(2)}).value);
+}
+
+// The former owner may have died before it recorded that the worker's lease is longer.
+TEST_F(job_owner_restart_test, a_successor_counts_the_longest_lease_where_no_witness_lives) {
+  auto& task = table_.find(job_name)->tasks[0];
+  const auto given_up_after = [&](const witness_set& witnesses) {
+    task.phase = task_phase::assigned;
+    task.run = 1;
+    task.life = {.worker = worker, .incarnation = 1};
+    owner_.emplace(job_owner_options{}, 2, table_, now_, wall_, log_sink{},
+                   grant_authority{job_owner_options{}.grants, witnesses, now_, now_});
+    // A majority of the witnesses answers the successor; the worker with the run does not.
+    for (const auto& life : witnesses) {
+      if (life.worker == worker) continue;
+      owner_->on_listing({.id = life.worker, .incarnation = 1, .address = "b"}, now_);
+      owner_->on_look_answer(
+          life, {.verdict = order_verdict::accepted, .report = {.clock = 1, .incarnation = 1}},
+          now_, now_);
+    }
+    return time_until_given_up();
+  };
+  const worker_life with_run{.worker = worker, .incarnation = 1};
+  const worker_life x{.worker = worker_id{"x"}, .incarnation = 1};
+  const worker_life y{.worker = worker_id{"y"}, .incarnation = 1};
+  EXPECT_LE(given_up_after({with_run, x, y}), duration{7'000});
+  EXPECT_GE(given_up_after({x, y}), duration{11'500});
+}
+
+}  // namespace
+}  // namespace coltsfoot::jobs
--- a/tests/jobs/fake_runner.cc
+++ b/tests/jobs/fake_runner.cc
@@ -11,6 +11,9 @@
 // Ends in one answer at the most. The others are told once these have been forgotten.
 constexpr std::size_t most_listed_ends = 500;
 
+// A longer lease is shortened to this one, in the runner's clock.
+constexpr jobs::worker_clock longest_lease_ms = 10'000;
+
 }  // namespace
 
 using jobs::order_answer;
@@ -25,6 +28,10 @@
   return (now - born_).count() * 98 / 100 + 1'000;
 }
 
+void fake_runner::extend_lease(jobs::worker_clock end, time_point now) {
+  lease_end_ = std::max(lease_end_, std::min(end, clock(now) + longest_lease_ms));
+}
+
 bool fake_runner::accept_fence(std::uint64_t fence) {
   if (fence < fence_) return false;
   fence_ = fence;
@@ -52,7 +59,7 @@
   const bool there = running != runs_.end() && running->second.run == order.run.run;
   const bool old = ended != ended_runs_.end() && order.run.run <= ended->second;
   if (order.lease_end < clock(now)) return answer(order_verdict::lease_over);
-  lease_end_ = std::max(lease_end_, order.lease_end);
+  extend_lease(order.lease_end, now);
   if (there) return answer(order_verdict::accepted);
   if (old || running != runs_.end()) return answer(order_verdict::obsolete);
   const auto work = work_(order.run);
@@ -80,7 +87,7 @@
                                     time_point now) {
   advance(now);
   if (!accept_fence(fence)) return {.verdict = order_verdict::fenced};
-  if (order.lease_end) lease_end_ = std::max(lease_end_, *order.lease_end);
+  if (order.lease_end) extend_lease(*order.lease_end, now);
   std::erase_if(ends_, [&](const auto& row) { return row.number <= order.forget_up_to; });
   jobs::look_answer answer{.verdict = order_verdict::accepted};
   answer.report.clock = clock(now);
--- a/tests/jobs/fake_runner.h
+++ b/tests/jobs/fake_runner.h
@@ -56,6 +56,7 @@
   jobs::worker_clock clock(time_point now) const;
   void end(const jobs::task_ref& task, jobs::run_end how);
   bool accept_fence(std::uint64_t fence);
+  void extend_lease(jobs::worker_clock end, time_point now);
 
   worker_id id_;
   resources capacity_;
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -219,7 +219,8 @@
 
 void virtual_fleet::beat() {
   for (std::size_t i = 0; i < workers_.size(); ++i) {
-    if (workers_[i].reachable) list_worker(static_cast<int>(i), workers_[i].draining);
+    if (workers_[i].reachable && !is_silent(static_cast<int>(i)))
+      list_worker(static_cast<int>(i), workers_[i].draining);
   }
   after(worker_beat, [this] { beat(); });
 }
@@ -250,6 +251,19 @@
   workers_.at(static_cast<std::size_t>(worker)).runner.restart(now_);
 }
 
+void virtual_fleet::crash_worker(int worker, duration silence) {
+  restart_worker(worker);
+  workers_.at(static_cast<std::size_t>(worker)).silent_until = now_ + silence;
+  after(silence, [this, worker] {
+    restart_worker(worker);
+    if (workers_.at(static_cast<std::size_t>(worker)).reachable) list_worker(worker, false);
+  });
+}
+
+bool virtual_fleet::is_silent(int worker) const {
+  return now_ < workers_.at(static_cast<std::size_t>(worker)).silent_until;
+}
+
 void virtual_fleet::set_worker_failing(int worker, bool failing) {
   absences_.on_trouble(now_);
   workers_.at(static_cast<std::size_t>(worker)).failing = failing;
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -84,6 +84,9 @@
   // While set, one node and one worker don't reach each other.
   void cut_worker(int node, int worker, bool cut);
   void restart_worker(int worker);
+  // The worker loses its runs, is silent for a while and starts again under its id. Orders that
+  // were sent meanwhile reach its next life, as connections that are tried again do.
+  void crash_worker(int worker, duration silence);
   // While set, all runs that the worker starts fail soon.
   void set_worker_failing(int worker, bool failing);
   void list_worker(int worker, bool draining);
@@ -126,6 +129,7 @@
     bool reachable = true;
     bool draining = false;
     bool failing = false;
+    time_point silent_until{};  // after a crash
   };
   struct scheduled {
     time_point at;
@@ -137,6 +141,7 @@
   };
 
   bool reaches_worker(int node, int worker) const;
+  bool is_silent(int worker) const;
   void after(duration delay, std::function<void()> action);
   void deliver(int node, jobs::node_event event);
   // Delivers events that the node finds together, as after a pause.
--- a/tests/jobs/virtual_fleet_checks.cc
+++ b/tests/jobs/virtual_fleet_checks.cc
@@ -44,7 +44,8 @@
   for (auto& worker : workers_) {
     worker.runner.advance(now_);
     for (const auto& [task, run] : worker.runner.runs()) running.insert(task);
-    if (worker.reachable && !worker.draining) free.push_back(worker.runner.free());
+    if (worker.reachable && !worker.draining && now_ >= worker.silent_until)
+      free.push_back(worker.runner.free());
   }
   std::vector<watched_task> tasks;
   for (const auto& [id, spec] : specs_) {
--- a/tests/jobs/virtual_fleet_commands.cc
+++ b/tests/jobs/virtual_fleet_commands.cc
@@ -152,6 +152,10 @@
   const auto number = std::stoi(c.order.address);
   auto& state = workers_.at(static_cast<std::size_t>(number));
   if (!reaches_worker(node, number)) return;
+  if (is_silent(number)) {
+    return after(state.silent_until - now_,
+                 [this, node, order, c, answered] { execute_order(node, order, c, answered); });
+  }
   auto result = result_of(c, order_verdict::unanswered);
   if (const auto* start = std::get_if<jobs::start_order>(&c.order.order)) {
     const bool there = state.runner.runs().contains(start->run.task);
@@ -171,6 +175,10 @@
   auto& state = workers_.at(static_cast<std::size_t>(number));
   const auto& look = std::get<jobs::look_order>(c.order.order);
   if (!reaches_worker(node, number)) return;
+  if (is_silent(number)) {
+    return after(state.silent_until - now_,
+                 [this, node, order, c, until] { look_when_due(node, order, c, until); });
+  }
   state.runner.advance(now_);
   if (!state.runner.has_unforgotten_ends() && now_ < until) {
     return after(duration{5},
