Ask a worker at once when the registry lists another life of it

Callers saw tasks run twice after restarts under an old id. Change: an entry with another life than the known one puts the worker in doubt. It is asked at once, beside looks that still wait; that look renews no lease and forgets no end. Nothing is placed or started there until the worker has answered an order that was sent after the entry. An entry that the worker denies, as other writers may leave it, costs one look.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -267,6 +267,7 @@
   worker_link* link_of(const worker_life& life);
   placed_run* run_of(worker_link& link, const run_ref& run, task_key& key);
   void end_life(worker_link& link, std::string_view reason, time_point now);
+  void doubt_life(worker_link& link, std::uint64_t listed, time_point now);
   void change_life(worker_link& link, const look_report& report, time_point now);
   void lose_run(worker_link& link, const task_key& key, std::string_view reason, time_point now);
   void on_ended(worker_link& link, const ended_row& row, time_point now);
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -64,7 +64,8 @@
     const auto* j = table_.find(start.key.job);
     if (j == nullptr || j->ended()) continue;
     // A start renews the lease too.
-    if (link->second.failed_looks == 0 && link->second.listing) {
+    const bool answers = link->second.failed_looks == 0 && !link->second.restarts.in_doubt();
+    if (answers && link->second.listing) {
       send_start(link->second, start.key, run->second, now);
     }
     if (run->second.phase == start_phase::to_send) blocked.push_back(start);
@@ -111,17 +112,19 @@
 
 void job_owner::send_look(worker_link& link, time_point now) {
   const bool settled = link.recorded_end == link.seen_end;
-  const bool patient = settled && link.failed_looks == 0 && link.last_contact.has_value();
+  const bool known = !link.restarts.in_doubt();
+  const bool answers = known && link.failed_looks == 0;
+  const bool patient = settled && answers && link.last_contact.has_value();
   // A look without an answer may have been carried out: it would renew a lease that nobody can tell
   // to be over.
-  const bool renew = link.failed_looks == 0 && grants_.may_grant(now);
+  const bool renew = answers && grants_.may_grant(now);
   const auto wait = patient ? look_wait_of(link, now) : duration{0};
   const auto answered_after = wait + answer_timeout();
   const auto patience = patient ? std::max(options_.look_timeout, answered_after) : answered_after;
   link.open_polls[now] = {.answer_by = now + patience, .wait = wait};
   orders_.push_back({.life = link.life,
                      .address = link.listing->address,
-                     .order = look_order{.forget_up_to = link.recorded_end,
+                     .order = look_order{.forget_up_to = known ? link.recorded_end : 0,
                                          .lease_end = renew ? link.lease.extend(now, options_.lease)
                                                             : std::nullopt,
                                          .wait = wait},
@@ -136,8 +139,8 @@
   for (auto& [key, run] : link.runs) {
     if (run.stop_answered || now < run.next_try) continue;
     // A start renews the lease too.
-    const bool repeats =
-        run.phase == start_phase::sent && link.failed_looks == 0 && grants_.may_grant(now);
+    const bool repeats = run.phase == start_phase::sent && link.failed_looks == 0 &&
+                         !link.restarts.in_doubt() && grants_.may_grant(now);
     if (repeats && !run.stop_wanted) repeat_start(link, key, run, now);
     if (!run.stop_wanted || now < run.next_try) continue;
     run.next_try = now + std::min(next_gap(run), longest_stop_gap);
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -50,8 +50,7 @@
   const auto inherited = grants_.inherited_until(lease_clock::longest(options_.lease));
   if (!inherited) return time_point::max();
   const auto longest = lease_clock::longest(options_.longest_lease);
-  return std::max(
-      {link.lease.lapses_at(), *inherited, link.restarts.former_leases_over(longest)});
+  return std::max({link.lease.lapses_at(), *inherited, link.restarts.former_leases_over(longest)});
 }
 
 void job_owner::watch_grants(time_point now) {
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -54,14 +54,15 @@
   if (listing.incarnation < link.life.incarnation) {
     // A late entry of a former life, unless the worker's clock was set back: a look will tell.
     link.unconfirmed = listing;
-    link.next_look = now;
+    doubt_life(link, listing.incarnation, now);
     log(severity::info,
         fmt::format("event=worker_entry_late worker={} incarnation={} known={}",
                     log_value(listing.id.value), listing.incarnation, link.life.incarnation));
     return send_due_orders(link, now);
   }
-  // The worker itself says what of the former life's orders reached the new one.
-  if (listing.incarnation != link.life.incarnation) link.next_look = now;
+  if (listing.incarnation != link.life.incarnation) {
+    doubt_life(link, listing.incarnation, now);
+  }
   const bool was_draining = link.listing && link.listing->draining;
   link.listing = listing;
   link.listed = true;
@@ -144,6 +145,19 @@
   link.next_look = now;
 }
 
+// The registry lists another life than the known one. The worker itself says which one is up, and
+// what of the former life's orders reached it. Until then it gets no order that the next life must
+// not carry out.
+void job_owner::doubt_life(worker_link& link, std::uint64_t listed, time_point now) {
+  if (link.restarts.in_doubt()) return;
+  log(severity::info, fmt::format("event=worker_life_doubted worker={} known={} listed={} runs={}",
+                                  log_value(link.life.worker.value), link.life.incarnation, listed,
+                                  link.runs.size()));
+  link.restarts.on_doubt(now);
+  link.open_polls.clear();  // connections to the former life may stay silent
+  link.next_look = now;
+}
+
 // The worker has restarted under its id. What it ran is gone, but an order for the former life may
 // have reached the new one, or may still do so.
 void job_owner::change_life(worker_link& link, const look_report& report, time_point now) {
@@ -277,12 +291,14 @@
   }
   const auto& report = answer.report;
   const bool other_life = report.incarnation != 0 && report.incarnation != link->life.incarnation;
-  if (other_life && is_unproved(*link) && report.incarnation < link->life.incarnation) {
-    link->life.incarnation = report.incarnation;
-    ++link->former_lives;
-  } else if (other_life) {
+  const bool false_entry = is_unproved(*link) && report.incarnation < link->life.incarnation;
+  if (other_life && !false_entry) {
     change_life(*link, report, now);
   } else {
+    if (other_life) {
+      link->life.incarnation = report.incarnation;
+      ++link->former_lives;
+    }
     link->restarts.on_answer(sent_at, now);
   }
   if (link->unconfirmed && link->unconfirmed->incarnation == link->life.incarnation) {
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -63,6 +63,7 @@
 // Why a task can't be placed on a worker.
 enum class placing_obstacle {
   unlisted,      // the registry doesn't list the worker
+  restarted,     // its present life, or the registry's entry of that life, is not known yet
   draining,      // it leaves
   avoided,       // it failed or rejected too much lately
   silent,        // it doesn't answer
@@ -148,6 +149,7 @@
 struct enum_names<jobs::placing_obstacle> {
   static constexpr std::array table{
       std::pair{jobs::placing_obstacle::unlisted, std::string_view{"unlisted"}},
+      std::pair{jobs::placing_obstacle::restarted, std::string_view{"restarted"}},
       std::pair{jobs::placing_obstacle::draining, std::string_view{"draining"}},
       std::pair{jobs::placing_obstacle::avoided, std::string_view{"avoided"}},
       std::pair{jobs::placing_obstacle::silent, std::string_view{"silent"}},
