--- a/coltsfoot/jobs/job_owner_test.cc
+++ b/coltsfoot/jobs/job_owner_test.cc
@@ -189,6 +189,8 @@
 // Its tasks would be stopped, or started again elsewhere while they run on.
 TEST_F(job_owner_test, a_late_entry_of_a_former_life_changes_nothing_while_looks_fail) {
   auto listing = *owner_->links().at(worker).listing;
+  listing.incarnation = 9;
+  owner_->on_listing(listing, now_);
   answer_look(1, 9, {});
   owner_->place(now_, wall_);
   record();
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -65,6 +65,7 @@
   }
   const bool was_draining = link.listing && link.listing->draining;
   link.listing = listing;
+  link.listing_outdated = false;
   link.listed = true;
   link.unconfirmed.reset();
   if (listing.draining && !was_draining) {
@@ -169,6 +170,7 @@
   link.life.incarnation = report.incarnation;
   ++link.former_lives;
   link.restarts.on_restart(now);
+  link.listing_outdated = link.listing && link.listing->incarnation != report.incarnation;
   link.lease = lease_clock{now};
   link.restart_ends();
   link.backoff = {};
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -86,6 +86,7 @@
   bool listed = false;                    // the registry lists it now
   // An entry with a life below the known one, until a look shows that life.
   std::optional<worker_listing> unconfirmed;
+  bool listing_outdated = false;  // `listing` is of a former life
   restart_watch restarts;
   lease_clock lease;
   std::map<task_key, placed_run> runs;
