Slow filling tasks again that started anew in a worker's next life

A start for the former life that the next one carries out begins at full speed, while the owner believed in the pace that it had told the former life: a filling task beside a serving one that misses its target would work on unslowed (HARM). Change: the pace of such a run is told again. Result: the test fails without the change and passes with it.

--- a/coltsfoot/jobs/job_owner_restart_test.cc
+++ b/coltsfoot/jobs/job_owner_restart_test.cc
@@ -151,6 +151,49 @@
   EXPECT_EQ(std::get<look_order>(next->order).forget_up_to, 0U);
 }
 
+// Guards against a filling task at full speed beside a serving one that misses its target.
+TEST_F(job_owner_restart_test, a_filling_task_that_started_anew_is_slowed_again) {
+  const job_id id{"mixed"};
+  job_table table;
+  table.accept({.id = id,
+                .service = service_id{"s"},
+                .spec = {.payload = "p",
+                         .steps = {{.demand = {.millicores = 4'000, .memory_mb = 100},
+                                    .long_running = true,
+                                    .image = "serving",
+                                    .response_target = duration{10}},
+                                   {.demand = {.millicores = 1'000, .memory_mb = 100},
+                                    .fill = true,
+                                    .image = "filling"}}}});
+  const auto listing = *owner_->links().at(worker).listing;
+  owner_.emplace(job_owner_options{}, 1, table, now_, wall_, log_sink{});
+  owner_->on_accepted(id, now_);
+  owner_->on_listing(listing, now_);
+  answer_look(1, 1, {});
+  owner_->place(now_, wall_);
+  record();
+  const run_ref serving{.task = {.job = id, .step = 0}, .run = 1};
+  const run_ref filling{.task = {.job = id, .step = 1}, .run = 1};
+  const std::vector<running_row> rows{{.run = serving, .percent = 100, .figure = 100},
+                                      {.run = filling, .percent = 10, .figure = 1'000}};
+  ASSERT_EQ(table.find(id)->tasks[1].phase, task_phase::assigned);
+  std::optional<worker_order> slowed;
+  for (int i = 0; i < 20 && !slowed; ++i) {
+    pass(duration{400});
+    answer_look(1, 1, rows);
+    slowed = newest<pace_order>();
+  }
+  ASSERT_TRUE(slowed);
+  const auto percent = std::get<pace_order>(slowed->order).percent;
+  ASSERT_LT(percent, 100U);
+  pass(duration{25});
+  answer_look(1, 2, rows);
+  const auto again = newest<pace_order>();
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->life.incarnation, 2U);
+  EXPECT_LE(std::get<pace_order>(again->order).percent, percent);
+}
+
 // Guards against a successor that counts the lease of a restarted worker as an ordinary one.
 TEST_F(job_owner_restart_test, a_restarted_worker_is_no_witness_until_its_former_leases_are_over) {
   const auto life = [](std::uint64_t incarnation) {
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -187,6 +187,7 @@
     const bool sent = run.phase == start_phase::sent || run.phase == start_phase::confirmed;
     if (listed.contains({.task = j->ref_of(key.index), .run = run.run})) {
       j->tasks[key.index].life = link.life;
+      run.pace_unsure = run.pace < 100;  // it started anew, at full speed
       mark_changed(*j);
     } else if (!sent || (run.listed && !run.doubtful)) {
       over.push_back(key);
