Remember a long lease with a worker that is not listed for a while

The owner forgets an idle worker whose entry is missing, and with it that the worker had restarted. A worker that returns in another life counts as restarted too.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -208,6 +208,7 @@
   struct remembered_lives {
     std::uint64_t incarnation = 0;  // the newest
     std::uint32_t former = 0;
+    restart_watch restarts;
   };
 
   struct recorded_start {
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -118,10 +118,11 @@
   }
 }
 
-// The fences of a worker must not fall when it is listed again.
+// The fences of a worker must not fall when it is listed again, and a long lease there goes on.
 void job_owner::forget_link(worker_links::iterator at) {
   const auto& [id, link] = *at;
-  remembered_[id] = {.incarnation = link.life.incarnation, .former = link.former_lives};
+  remembered_[id] = {
+      .incarnation = link.life.incarnation, .former = link.former_lives, .restarts = link.restarts};
   links_.erase(at);
 }
 
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -49,6 +49,8 @@
     // The entry before this one may have come from another writer.
     link.life.incarnation = listing.incarnation;
     ++link.former_lives;
+      link.restarts = known->second.restarts;
+      if (restarted) link.restarts.on_restart(now);
     link.open_polls.clear();
   }
   if (listing.incarnation < link.life.incarnation) {
