Record no set without witnesses

After a restart of all workers of a shard, none is a witness for ten seconds. Without witnesses an outage of the store stops all leases at once, so the former set stays.

--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -316,7 +316,8 @@
     const bool known = link.listed && link.last_contact;
     if (known && !may_have_long_lease(link, now)) lives.insert(link.life);
   }
-  if (lives == grants_.witnesses()) return std::nullopt;
+  // Without witnesses, an outage of the store would stop all leases.
+  if (lives.empty() || lives == grants_.witnesses()) return std::nullopt;
   next_witnesses_ = now + options_.witness_gap;
   auto record = witness_record(lives);
   grants_.propose(std::move(lives));
