Take an answer with an earlier clock for one of another life

The answer to a start does not name the life that gave it. The clock of a worker runs steadily: a reading behind one that had arrived before the start was sent is of another life. It now raises a doubt, which a look settles.

--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -157,6 +157,17 @@
   if (clock) link.lease.observe(*clock, now);
 }
 
+// The clock of a worker runs steadily: an order that finds it behind a reading from before the
+// order was sent has reached another life, and nothing follows from its answer.
+void job_owner::note_order_answer(worker_link& link, const order_answer& answer, time_point now) {
+  if (!answer.clock) return;
+  if (link.lease.is_behind(*answer.clock, now - answer.taken)) {
+    doubt_life(link, "clock", now);
+    return;
+  }
+  note_contact(link, answer.clock, now);
+}
+
 void job_owner::on_start_answer(const worker_life& life, const run_ref& ref,
                                 const order_answer& answer, time_point now) {
   window_.on_ended(answer.taken);
@@ -167,7 +178,7 @@
   send_ready_starts(now);
   auto* link = link_of(life);
   if (link == nullptr) return;
-  if (answer.clock) note_contact(*link, answer.clock, now);
+  note_order_answer(*link, answer, now);
   task_key key;
   auto* run = run_of(*link, ref, key);
   if (run == nullptr || run->phase != start_phase::sent) return;
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -56,14 +56,19 @@
   if (listing.incarnation < link.life.incarnation) {
     // A late entry of a former life, unless the worker's clock was set back: a look will tell.
     link.unconfirmed = listing;
-    doubt_life(link, listing.incarnation, now);
+    doubt_life(link, "registry", now);
     log(severity::info,
         fmt::format("event=worker_entry_late worker={} incarnation={} known={}",
                     log_value(listing.id.value), listing.incarnation, link.life.incarnation));
     return send_due_orders(link, now);
   }
   if (listing.incarnation != link.life.incarnation) {
-    doubt_life(link, listing.incarnation, now);
+    if (!link.listing) {
+      // The only address at which the worker can be asked.
+      link.listing = listing;
+      link.listing_outdated = true;
+    }
+    doubt_life(link, "registry", now);
   }
   const bool was_draining = link.listing && link.listing->draining;
   link.listing = listing;
@@ -147,13 +152,12 @@
   link.next_look = now;
 }
 
-// The registry lists another life than the known one. The worker itself says which one is up, and
-// what of the former life's orders reached it. Until then it gets no order that the next life must
-// not carry out.
-void job_owner::doubt_life(worker_link& link, std::uint64_t listed, time_point now) {
+// Another life than the known one may be up. The worker itself says which one it is, and
+// what of the former life's orders reached it. Until then it gets no start, lease or cursor.
+void job_owner::doubt_life(worker_link& link, std::string_view cause, time_point now) {
   if (link.restarts.in_doubt()) return;
-  log(severity::info, fmt::format("event=worker_life_doubted worker={} known={} listed={} runs={}",
-                                  log_value(link.life.worker.value), link.life.incarnation, listed,
+  log(severity::info, fmt::format("event=worker_life_doubted worker={} known={} cause={} runs={}",
+                                  log_value(link.life.worker.value), link.life.incarnation, cause,
                                   link.runs.size()));
   link.restarts.on_doubt(now);
   link.open_polls.clear();  // connections to the former life may stay silent
--- a/coltsfoot/jobs/lease_clock.h
+++ b/coltsfoot/jobs/lease_clock.h
@@ -36,12 +36,18 @@
     return end;
   }
 
+  // Whether a reading lies behind one that had arrived when the call was sent that brought it. A
+  // clock that runs steadily does not go back.
+  bool is_behind(worker_clock clock, time_point sent_at) const {
+    return sample_ && sample_->arrived <= sent_at && clock < sample_->clock;
+  }
+
   // The newest reading of the worker's clock; nothing before the first one.
   std::optional<worker_clock> newest_reading() const {
     return sample_ ? std::optional{sample_->clock} : std::nullopt;
   }
 
-  // From this time on, no lease lasts that this or a former owner granted.
+  // From this time on, no lease lasts that is inherited or was granted here.
   time_point lapses_at() const { return lapses_at_; }
 
   // The longest time that a lease of `length` can last in real time.
--- a/coltsfoot/jobs/lease_clock_test.cc
+++ b/coltsfoot/jobs/lease_clock_test.cc
@@ -30,5 +30,15 @@
   EXPECT_EQ(clock.lapses_at(), start + duration{60'000});
 }
 
+// Answers overtake each other: only a reading from before the call tells of another clock.
+TEST(lease_clock_test, an_earlier_reading_shows_that_another_clock_answered) {
+  lease_clock clock{start};
+  EXPECT_FALSE(clock.is_behind(700, start));
+  clock.observe(700, start);
+  EXPECT_TRUE(clock.is_behind(699, start));
+  EXPECT_FALSE(clock.is_behind(699, start - duration{1}));
+  EXPECT_FALSE(clock.is_behind(700, start));
+}
+
 }  // namespace
 }  // namespace coltsfoot::jobs
