Let a doubt delay only runs whose start may still be carried out

Runs that a look has listed and whose starts were all answered can't be in an unknown life: they are given up when the ordinary lease is over, as before. The figures of a run that started anew in a new life start anew too.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -267,6 +267,7 @@
   // Workers.
   worker_link* link_of(const worker_life& life);
   placed_run* run_of(worker_link& link, const run_ref& run, task_key& key);
+  void give_up_runs(worker_link& link, time_point now);
   void end_life(worker_link& link, std::string_view reason, time_point now);
   void doubt_life(worker_link& link, std::string_view cause, time_point now);
   void change_life(worker_link& link, const look_report& report, time_point now);
@@ -310,8 +311,8 @@
   void learn_interference(worker_link& link, const look_report& report, time_point now);
   void pace_runs(worker_link& link, time_point now);
   void note_contact(worker_link& link, const std::optional<worker_clock>& clock, time_point now);
-  void note_worker_failure(worker_link& link, time_point now);
   void note_order_answer(worker_link& link, const order_answer& answer, time_point now);
+  void note_worker_failure(worker_link& link, time_point now);
 
   void log_summary(time_point now) const;
   void log(severity level, const std::string& text) const;
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -121,7 +121,7 @@
   const auto wait = patient ? look_wait_of(link, now) : duration{0};
   const auto answered_after = wait + answer_timeout();
   const auto patience = patient ? std::max(options_.look_timeout, answered_after) : answered_after;
-  const auto forget_up_to = known ? link.end_to_forget() : 0;
+  const auto forget_up_to = known ? link.end_cursor_to_send() : 0;
   link.open_polls[now] = {.answer_by = now + patience, .wait = wait, .forget_up_to = forget_up_to};
   orders_.push_back({.life = link.life,
                      .address = link.listing->address,
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -48,8 +48,7 @@
   log_long_waits(now);
 }
 
-// A worker that restarted under a former owner was no witness until no order for its former life
-// could have left a longer lease.
+// The former owner records a restarted worker as a witness only once its long lease is over.
 bool job_owner::may_inherit_long_lease(const worker_link& link) const {
   return fence_ > first_fence && !grants_.was_witness(link.life);
 }
@@ -126,12 +125,24 @@
   links_.erase(at);
 }
 
+// Gives up what can't run on a silent worker any more.
+void job_owner::give_up_runs(worker_link& link, time_point now) {
+  if (now < lapses_at(link)) return;
+  const auto longest = lease_clock::longest(options_.longest_lease);
+  if (now >= link.restarts.unknown_life_over(longest)) {
+    return end_life(link, "lease_lapsed", now);
+  }
+  std::vector<task_key> over;
+  for (const auto& [key, run] : link.runs) {
+    if (run.start_is_over()) over.push_back(key);
+  }
+  for (const auto& key : over) lose_run(link, key, "lease_lapsed", now);
+}
+
 void job_owner::tend_worker(worker_link& link, time_point now) {
   note_late_polls(link, now);
   const bool silent = link.failed_looks > 0 || !link.last_contact || !link.listing;
-  if (silent && now >= lapses_at(link) && !link.runs.empty()) {
-    end_life(link, "lease_lapsed", now);
-  }
+  if (silent && !link.runs.empty()) give_up_runs(link, now);
   std::vector<task_key> stalled;
   for (const auto& [key, run] : link.runs) {
     const bool stuck = run.phase == start_phase::confirmed && run.percent < 100 &&
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -22,6 +22,15 @@
 // The time between failed looks doubles up to this many times.
 constexpr std::uint32_t most_poll_doublings = 4;
 
+// The run has started again in another life of its worker, at full speed.
+void restart_figures(placed_run& run, time_point now) {
+  run.percent = 0;
+  run.progressed_at = now;
+  run.headroom = 0;
+  run.over_since.reset();
+  run.pace_unsure = run.pace < 100;
+}
+
 // Weight of a new figure beside the former ones, which it replaces with this time constant.
 double weight_of_newest(duration since_former) {
   constexpr double time_constant_ms = 500;
@@ -40,6 +49,8 @@
     if (known != remembered_.end()) {
       const bool restarted = listing.incarnation != known->second.incarnation;
       link.former_lives = known->second.former + (restarted ? 1 : 0);
+      link.restarts = known->second.restarts;
+      if (restarted) link.restarts.on_restart(now);
     }
     log(severity::info,
         fmt::format("event=worker_listed worker={} incarnation={} address={}",
@@ -49,13 +60,16 @@
     // The entry before this one may have come from another writer.
     link.life.incarnation = listing.incarnation;
     ++link.former_lives;
-      link.restarts = known->second.restarts;
-      if (restarted) link.restarts.on_restart(now);
     link.open_polls.clear();
   }
   if (listing.incarnation < link.life.incarnation) {
     // A late entry of a former life, unless the worker's clock was set back: a look will tell.
     link.unconfirmed = listing;
+    if (!link.listing) {
+      // The only address at which the worker can be asked.
+      link.listing = listing;
+      link.listing_outdated = true;
+    }
     doubt_life(link, "registry", now);
     log(severity::info,
         fmt::format("event=worker_entry_late worker={} incarnation={} known={}",
@@ -63,11 +77,6 @@
     return send_due_orders(link, now);
   }
   if (listing.incarnation != link.life.incarnation) {
-    if (!link.listing) {
-      // The only address at which the worker can be asked.
-      link.listing = listing;
-      link.listing_outdated = true;
-    }
     doubt_life(link, "registry", now);
   }
   const bool was_draining = link.listing && link.listing->draining;
@@ -148,7 +157,7 @@
                   link.last_contact ? (now - *link.last_contact).count() : -1,
                   (now - link.lease.lapses_at()).count()));
   for (const auto& key : keys) lose_run(link, key, reason, now);
-  link.restart_ends();
+  link.reset_end_cursors();
   link.next_look = now;
 }
 
@@ -178,7 +187,7 @@
   link.restarts.on_restart(now);
   link.listing_outdated = link.listing && link.listing->incarnation != report.incarnation;
   link.lease = lease_clock{now};
-  link.restart_ends();
+  link.reset_end_cursors();
   link.backoff = {};
   link.open_polls.clear();  // of the former life, whose answers don't count
   std::set<run_ref> listed;
@@ -193,7 +202,7 @@
     const bool sent = run.phase == start_phase::sent || run.phase == start_phase::confirmed;
     if (listed.contains({.task = j->ref_of(key.index), .run = run.run})) {
       j->tasks[key.index].life = link.life;
-      run.pace_unsure = run.pace < 100;  // it started anew, at full speed
+      restart_figures(run, now);
       mark_changed(*j);
     } else if (!sent || (run.listed && !run.doubtful)) {
       over.push_back(key);
@@ -306,7 +315,7 @@
       link->life.incarnation = report.incarnation;
       ++link->former_lives;
     }
-    link->restarts.on_answer(sent_at, now);
+    if (report.incarnation != 0) link->restarts.on_answer(sent_at, now);
     const auto forgotten = open.empty() ? 0 : open.mapped().forget_up_to;
     link->forgotten_end = std::max(link->forgotten_end, forgotten);
   }
--- a/coltsfoot/jobs/restart_watch.h
+++ b/coltsfoot/jobs/restart_watch.h
@@ -10,9 +10,11 @@
 //   watch.on_restart(now);                // the worker has answered in another life
 //   watch.on_answer(sent_at, now);        // the worker has answered in the known life
 //   if (now >= watch.former_leases_over(longest_lease)) ...
+//
+// A doubt concerns only runs whose start may still be carried out: others are gone if the worker
+// has restarted, and are under an ordinary lease if it has not.
 #pragma once
 
-#include <algorithm>
 #include <optional>
 
 #include "coltsfoot/base/time.h"
@@ -20,7 +22,8 @@
 namespace coltsfoot::jobs {
 
 struct restart_watch_options {
-  // How long after its sending an order without an answer may be carried out.
+  // How long after its sending an order without an answer may be carried out. The platform speaks
+  // of seconds.
   duration late_order_limit{12'000};
 };
 
@@ -50,17 +53,17 @@
   // Whether another life than the known one may be up.
   bool in_doubt() const { return doubted_since_.has_value(); }
 
-  // From when on no lease lasts that an order for a former life has granted. `longest_lease`: in
-  // real time, of those that the worker grants.
+  // From when on no lease lasts in the known life that an order for a former one has granted.
+  // `longest_lease`: in real time, of those that the worker grants.
   time_point former_leases_over(duration longest_lease) const {
-    time_point over{};
-    if (noticed_) {
-      over = fenced_at_.value_or(*noticed_ + options_.late_order_limit) + longest_lease;
-    }
-    if (doubted_since_) {
-      over = std::max(over, *doubted_since_ + options_.late_order_limit + longest_lease);
-    }
-    return over;
+    if (!noticed_) return {};
+    return fenced_at_.value_or(*noticed_ + options_.late_order_limit) + longest_lease;
+  }
+
+  // From when on nothing runs in a life that is not known.
+  time_point unknown_life_over(duration longest_lease) const {
+    if (!doubted_since_) return {};
+    return *doubted_since_ + options_.late_order_limit + longest_lease;
   }
 
  private:
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -79,13 +79,13 @@
   return assumed - paced_fill_millicores;
 }
 
-void worker_link::restart_ends() {
+void worker_link::reset_end_cursors() {
   seen_end = 0;
   recorded_end = 0;
   forgotten_end = 0;
 }
 
-std::uint64_t worker_link::end_to_forget() const {
+std::uint64_t worker_link::end_cursor_to_send() const {
   return recorded_end > forgotten_end ? recorded_end : 0;
 }
 
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -35,6 +35,8 @@
   start_phase phase = start_phase::recording;
   bool listed = false;    // a report has shown it as running
   bool doubtful = false;  // an order got no answer: it may still be carried out
+  // Whether no start of it can be carried out any more, not even by a later life of the worker.
+  bool start_is_over() const { return listed && !doubtful; }
   time_point next_try{};
   std::uint32_t tries = 0;  // of the order that is due next
   time_point confirmed_at{};
@@ -52,7 +54,7 @@
   double headroom = 0;          // of a serving task: target over tail, smoothed; 0: unknown
   std::optional<time_point> over_since;  // of a serving task: reports show it over its target
   std::uint32_t pace = 100;              // percent of its speed that it was told to work at
-  bool pace_unsure = false;              // the order for `pace` was not answered
+  bool pace_unsure = false;              // whether it works at `pace` is not known
   time_point began{};                    // when it was placed
   time_point sent_at{};                  // when its newest start order was sent
 };
@@ -136,11 +138,11 @@
   // Processors that filling tasks could use and do not.
   std::int64_t idle_millicores() const;
 
-  // Handles and tells ends from the first one on, as in a life of which nothing was heard.
-  void restart_ends();
-  // Up to which end the worker has still to be told to forget; 0: none. Only one answered look
-  // tells it: the number would let a later life forget ends of its own.
-  std::uint64_t end_to_forget() const;
+  // Handles and acknowledges ends from the first one on, as in a new life.
+  void reset_end_cursors();
+  // The newest end that the worker has still to be told to forget; 0: none. Only one answered look
+  // carries it: it would let a later life forget ends of its own.
+  std::uint64_t end_cursor_to_send() const;
   // Whether a look may be sent: none is under way, or all of those are overdue.
   bool may_poll() const;
 
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -12,6 +12,7 @@
 
 constexpr duration tick_interval{25};
 constexpr duration worker_beat{1'000};
+constexpr duration entry_delay{280};  // from a worker's start until the registry lists it
 constexpr duration failing_run_length{100};
 constexpr std::string_view service = "svc";
 
@@ -256,7 +257,9 @@
   workers_.at(static_cast<std::size_t>(worker)).silent_until = now_ + silence;
   after(silence, [this, worker] {
     restart_worker(worker);
-    if (workers_.at(static_cast<std::size_t>(worker)).reachable) list_worker(worker, false);
+    after(entry_delay, [this, worker] {
+      if (workers_.at(static_cast<std::size_t>(worker)).reachable) list_worker(worker, false);
+    });
   });
 }
 
