Count a job as waiting until a worker has started a task of it

Change: the mark is set once a worker has accepted a start, lists the run or its end. The test of a partial copy compares the count with that before the copy came: its own job is only placed and counts now. job_started_seconds ends at that moment too.

--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -96,6 +96,14 @@
   next_.jobs.insert(j.accepted.id);
 }
 
+// A worker has started a task of the job. A start that was only placed may never be carried out.
+void job_owner::mark_started(job& j) {
+  if (j.started || j.ended()) return;
+  j.started = true;
+  stats_.until_started.record(wall_ - j.accepted.accepted_at);
+  mark_changed(j);
+}
+
 bool job_owner::occurrence_due(const job& j, std::uint32_t occurrence) const {
   return jobs::occurrence_due(j.accepted.spec, occurrence, wall_);
 }
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -97,7 +97,7 @@
   std::uint64_t failed = 0;
   latency_histogram until_recorded;  // of a start, from its placing
   latency_histogram until_answered;  // of a start order, from sending it
-  latency_histogram until_started;   // from a job's acceptance to its first placing
+  latency_histogram until_started;   // from a job's acceptance to its first confirmed start
   latency_histogram job_age;         // of completed jobs, from acceptance to the end
 
   job_owner_stats& operator+=(const job_owner_stats& other);
@@ -234,6 +234,7 @@
   // Jobs.
   void adopt(time_point now);
   void mark_changed(const job& j);
+  void mark_started(job& j);
   void refresh_waiting(const job& j, time_point now);
   bool has_waiting_task(const job& j) const;
   void finish(job& j, job_outcome outcome, time_point now);
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -199,6 +199,7 @@
       run->phase = start_phase::confirmed;
       run->confirmed_at = now;
       run->progressed_at = now;
+      mark_started(*table_.find(key.job));
       if (run->pace_unsure) send_pace(*link, key, *run);
       return;
     case order_verdict::fenced:
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -318,8 +318,6 @@
   task.phase = task_phase::assigned;
   task.run = run;
   task.life = link.life;
-  if (!j.started) stats_.until_started.record(wall_ - j.accepted.accepted_at);
-  j.started = true;
   const task_key key{.job = j.accepted.id, .index = index};
   auto placed = run_of_step(step, task, now);
   if (step.fill) {
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -363,6 +363,7 @@
     run->confirmed_at = now;
   }
   run->listed = true;
+  mark_started(*table_.find(key.job));
   if (row.percent != run->percent || run->progressed_at == time_point{}) {
     run->percent = row.percent;
     run->progressed_at = now;
@@ -381,6 +382,7 @@
   link.remove(key);
   auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
+  mark_started(*j);
   const auto& step = j->step_of(row.run.task);
   log(severity::info,
       fmt::format("event=run_ended {} worker={} end={} number={} stop_wanted={} took_ms={} "
