Take an answer with a clock far ahead for one of another life too

A clock is never faster than time, so that a reading which lies seconds ahead of the known clock is of another life as well as one that goes back. The check is new, so its test was not run without it.

--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -157,11 +157,10 @@
   if (clock) link.lease.observe(*clock, now);
 }
 
-// The clock of a worker runs steadily: an order that finds it behind a reading from before the
-// order was sent has reached another life, and nothing follows from its answer.
+// An answer with a reading of another clock came from another life: no lease follows from it.
 void job_owner::note_order_answer(worker_link& link, const order_answer& answer, time_point now) {
   if (!answer.clock) return;
-  if (link.lease.is_behind(*answer.clock, now - answer.taken)) {
+  if (link.lease.is_of_another_clock(*answer.clock, now - answer.taken, now)) {
     doubt_life(link, "clock", now);
     return;
   }
--- a/coltsfoot/jobs/lease_clock.h
+++ b/coltsfoot/jobs/lease_clock.h
@@ -36,10 +36,13 @@
     return end;
   }
 
-  // Whether a reading lies behind one that had arrived when the call was sent that brought it. A
-  // clock that runs steadily does not go back.
-  bool is_behind(worker_clock clock, time_point sent_at) const {
-    return sample_ && sample_->arrived <= sent_at && clock < sample_->clock;
+  // Whether a reading, from the answer at `now` to a call that was sent at `sent_at`, is of another
+  // clock: one that runs steadily does not go back, and is never faster than time.
+  bool is_of_another_clock(worker_clock clock, time_point sent_at, time_point now) const {
+    if (!sample_) return false;
+    const bool behind = sample_->arrived <= sent_at && clock < sample_->clock;
+    const auto passed = now - sample_->arrived + oldest_reading;
+    return behind || clock > sample_->clock + passed.count();
   }
 
   // The newest reading of the worker's clock; nothing before the first one.
@@ -60,6 +63,7 @@
   };
   static constexpr int slowest_clock_percent = 98;  // the platform's bound on worker clocks
   static constexpr duration margin{50};             // for ending the runs
+  static constexpr duration oldest_reading{5'000};  // when it arrives, however late the answer is
 
   std::optional<reading> sample_;
   time_point lapses_at_;
--- a/coltsfoot/jobs/lease_clock_test.cc
+++ b/coltsfoot/jobs/lease_clock_test.cc
@@ -31,13 +31,23 @@
 }
 
 // Answers overtake each other: only a reading from before the call tells of another clock.
-TEST(lease_clock_test, an_earlier_reading_shows_that_another_clock_answered) {
+TEST(lease_clock_test, a_reading_that_goes_back_is_of_another_clock) {
   lease_clock clock{start};
-  EXPECT_FALSE(clock.is_behind(700, start));
+  const auto now = start + duration{10};
+  EXPECT_FALSE(clock.is_of_another_clock(700, start, now));
   clock.observe(700, start);
-  EXPECT_TRUE(clock.is_behind(699, start));
-  EXPECT_FALSE(clock.is_behind(699, start - duration{1}));
-  EXPECT_FALSE(clock.is_behind(700, start));
+  EXPECT_TRUE(clock.is_of_another_clock(699, start, now));
+  EXPECT_FALSE(clock.is_of_another_clock(699, start - duration{1}, now));
+  EXPECT_FALSE(clock.is_of_another_clock(700, start, now));
+}
+
+// An answer may be late, so that the reading before was older than it seemed.
+TEST(lease_clock_test, a_reading_that_is_seconds_ahead_is_of_another_clock) {
+  lease_clock clock{start};
+  clock.observe(700, start);
+  const auto now = start + duration{1'000};
+  EXPECT_FALSE(clock.is_of_another_clock(6'700, start, now));
+  EXPECT_TRUE(clock.is_of_another_clock(6'701, start, now));
 }
 
 }  // namespace
