Start no task in an evacuated zone

Operators who wrote evacuate/ZONE to the configuration topic saw tasks still being started on workers of the zone, for as long as jobs came: no node read the record.

Each node now follows these records (coltsfoot/evacuation/evacuated_zones) and hands the zones in force to the owners of its shards. A worker of such a zone has the placing obstacle 'evacuated'. Starts that are decided but not sent are withdrawn; starts that were sent and not answered are stopped in place of being repeated. A successor leaves adopted runs that a look shows and stops the others. An owner places nothing before its node has listed the configuration topic once. Workers of an evacuated zone do not count as room where shards exchange tasks and workers.

--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -163,7 +163,9 @@
       .peer_address = settings.peer_address,
       .codec = {.config = platform::decode_config,
                 .worker = platform::decode_worker,
-                .config_key = std::string{platform::config_key}}};
+                .config_key = std::string{platform::config_key},
+                .evacuation = {.key_prefix = std::string{platform::evacuation_prefix},
+                               .check = platform::check_evacuation}}};
   options.owner.longest_lease = settings.longest_lease;
   options.owner.lease = std::min(options.owner.lease, settings.longest_lease);
   options.layout.most_shards = settings.journal_partitions;
--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -46,6 +46,7 @@
   page.add_counter("task_paces_total", stats.paces);
   page.add_counter("worker_transfers_total", stats.transfers);
   page.add_counter("task_handovers_total", stats.handovers);
+  page.add_counter("evacuation_starts_withdrawn_total", stats.starts_withdrawn);
   page.add_counter("runs_lost_total", stats.runs_lost);
   page.add_counter("starts_rejected_total", stats.rejected);
   page.add_counter("orders_unanswered_total", stats.unanswered);
@@ -73,6 +74,7 @@
   page.add_gauge("shards", static_cast<double>(node.shards().size()));
   page.add_gauge("jobs", static_cast<double>(node.jobs()));
   page.add_gauge("config_version", static_cast<double>(node.config_version()));
+  page.add_gauge("evacuated_zones", static_cast<double>(node.evacuated_zones()));
   for (const auto& [verdict, count] : stats.answers) {
     page.add_counter("answers_total", count, exposition_label("verdict", name_of(verdict)));
   }
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -178,6 +178,7 @@
 }
 
 void job_node::apply_config(const topic_change& change) {
+  apply_evacuations(change);
   for (const auto& record : change.records) {
     if (record.key != context_.options.codec.config_key || record.value.empty()) continue;
     auto decoded = context_.options.codec.config(record.value);
@@ -203,6 +204,7 @@
   }
   for (const auto& record : change.records) note_listing(worker_id{record.key}, record.value);
   if (change.is_listing) hand_all_listings();
+  report_empty_zones();
 }
 
 void job_node::note_listing(const worker_id& id, std::string_view value) {
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,7 @@
   std::size_t owned_shards() const;
   std::size_t jobs() const;
   const job_node_stats& stats() const { return context_.stats; }
+  std::size_t evacuated_zones() const { return context_.evacuated.zones().size(); }
   std::uint64_t config_version() const { return config_ ? config_->version : 0; }
 
  private:
@@ -100,6 +102,10 @@
   void read_topics();
   void apply_config(const topic_change& change);
   void apply_workers(const topic_change& change);
+  void apply_evacuations(const topic_change& change);
+  void log_evacuation(const evacuation_event& event) const;
+  // Reports evacuated zones in which no worker is listed, once for each request.
+  void report_empty_zones();
   void note_listing(const worker_id& id, std::string_view value);
   // The shard that a worker belongs to now.
   struct worker_place {
@@ -143,6 +149,8 @@
   time_point registry_changed_{};
   time_point first_owned_since_{};  // of the first shard
 
+  std::set<std::string> zones_checked_;  // evacuated zones whose workers were looked for
+
   std::map<call_id, peer_query> peer_queries_;
   std::map<call_id, unproved_cancel> unproved_cancels_;  // by the caller's call
   std::optional<time_point> shutdown_at_;
--- a/coltsfoot/jobs/job_node_balance.cc
+++ b/coltsfoot/jobs/job_node_balance.cc
@@ -34,6 +34,7 @@
   for (const auto& [id, listing] : registry_) {
     const auto place = place_of(listing);
     if (!place || listing.draining || !listing.capacity.fits_in(plausible)) continue;
+    if (context_.evacuated.contains(listing.zone)) continue;
     loads[place->shard].capacity += listing.capacity;
     ++loads[place->shard].workers;
     largest.millicores = std::max(largest.millicores, listing.capacity.millicores);
--- a/coltsfoot/jobs/job_node_handovers.cc
+++ b/coltsfoot/jobs/job_node_handovers.cc
@@ -132,6 +132,7 @@
   for (const auto& [id, listing] : registry_) {
     const auto place = place_of(listing);
     if (!place || listing.draining || !listing.capacity.fits_in(plausible)) continue;
+    if (context_.evacuated.contains(listing.zone)) continue;
     rooms.add_worker(place->shard, listing);
   }
   for (const auto& shard : shards_) {
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -29,6 +29,7 @@
   paces += other.paces;
   transfers += other.transfers;
   handovers += other.handovers;
+  starts_withdrawn += other.starts_withdrawn;
   completed += other.completed;
   failed += other.failed;
   until_recorded.merge(other.until_recorded);
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -93,6 +93,8 @@
   std::uint64_t paces = 0;       // orders to work slower or faster
   std::uint64_t transfers = 0;   // workers given to other shards
   std::uint64_t handovers = 0;   // tasks given to other shards
+  // Starts in evacuated zones that were not sent, or stopped as they got no answer.
+  std::uint64_t starts_withdrawn = 0;
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
   latency_histogram until_recorded;  // of a start, from its placing
@@ -119,6 +121,9 @@
   void on_unlisted(const worker_id& worker);
   // The listed workers as a whole; others are not listed any more.
   void on_listings(const std::vector<worker_listing>& listings, time_point now);
+  // No task is started any more on workers of these zones; starts there that are not confirmed are
+  // withdrawn.
+  void set_evacuated_zones(std::set<std::string> zones, time_point now);
   void on_accepted(const job_id& id, time_point now);
   void on_cancelled(const job_id& id, time_point now);
 
@@ -187,6 +192,8 @@
 
   const job_owner_stats& stats() const { return stats_; }
   const worker_links& links() const { return links_; }
+  // Runs on workers of a zone, those included that are not confirmed.
+  std::size_t runs_in_zone(const std::string& zone) const;
   std::size_t waiting_jobs() const { return waiting_.size(); }
   const start_window& window() const { return window_; }
   const answer_time& answers() const { return answers_; }
@@ -279,6 +286,11 @@
                       time_point sent_at, time_point now);
   void stop_run(worker_link& link, const task_key& key, time_point now);
   void drain_runs(worker_link& link, time_point now);
+  bool is_evacuated(const worker_link& link) const;
+  void withdraw_start(worker_link& link, const task_key& key, time_point now);
+  void stop_gang_of(const task_key& key, time_point now);
+  void stop_unanswered_start(worker_link& link, const task_key& key, placed_run& run,
+                             time_point now);
   void forget_link(worker_links::iterator at);
   void settle_transfer(worker_link& link, time_point now);
   void give_up_transfer(worker_link& link);
@@ -328,6 +340,7 @@
   bool inheritance_known_ = false;  // whether it was known then when former leases are over
   time_point next_witnesses_{};
   worker_links links_;
+  std::set<std::string> evacuated_zones_;
   std::map<worker_id, remembered_lives> remembered_;  // of workers that have no link any more
   interference_model model_{{}};
   estimate_correction correction_;
--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -63,6 +63,11 @@
     if (run->second.phase != start_phase::to_send || run->second.stop_wanted) continue;
     const auto* j = table_.find(start.key.job);
     if (j == nullptr || j->ended()) continue;
+    if (link->second.evacuated) {
+      // The zone of the worker was listed after the request.
+      withdraw_start(link->second, start.key, now);
+      continue;
+    }
     // A start renews the lease too.
     const bool answers = link->second.failed_looks == 0 && !link->second.restarts.in_doubt();
     if (answers && link->second.listing) {
@@ -78,6 +83,7 @@
                              time_point now) {
   const auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
+  if (link.evacuated) return stop_unanswered_start(link, key, run, now);
   run.doubtful = true;
   if (now - run.progressed_at > timeouts_until_stop * answer_timeout()) {
     run.stop_wanted = true;
@@ -139,9 +145,9 @@
   if (link.may_poll() && now >= link.next_look) send_look(link, now);
   for (auto& [key, run] : link.runs) {
     if (run.stop_answered || now < run.next_try) continue;
-    // A start renews the lease too.
+    // A start renews the lease too. In an evacuated zone it is stopped instead of repeated.
     const bool repeats = run.phase == start_phase::sent && link.failed_looks == 0 &&
-                         !link.restarts.in_doubt() && grants_.may_grant(now);
+                         !link.restarts.in_doubt() && (link.evacuated || grants_.may_grant(now));
     if (repeats && !run.stop_wanted) repeat_start(link, key, run, now);
     if (!run.stop_wanted || now < run.next_try) continue;
     run.next_try = now + std::min(next_gap(run), longest_stop_gap);
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -104,11 +104,13 @@
          now - since->second >= options_.starved_after;
 }
 
-// Whether less than half of the listed workers' processors are in use.
+// Whether less than half of the processors are in use of the listed workers that no evacuation
+// closes.
 bool job_owner::much_room_is_free() const {
   std::int64_t capacity = 0;
   std::int64_t used = 0;
   for (const auto& [id, link] : links_) {
+    if (link.evacuated) continue;
     if (link.listed) capacity += link.listing->capacity.millicores;
     used += link.used.millicores;
   }
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -69,6 +69,7 @@
       // The only address at which the worker can be asked.
       link.listing = listing;
       link.listing_outdated = true;
+      link.evacuated = is_evacuated(link);
     }
     doubt_life(link, "registry", now);
     log(severity::info,
@@ -82,6 +83,7 @@
   const bool was_draining = link.listing && link.listing->draining;
   link.listing = listing;
   link.listing_outdated = false;
+  link.evacuated = is_evacuated(link);
   link.listed = true;
   link.unconfirmed.reset();
   if (listing.draining && !was_draining) {
@@ -239,7 +241,7 @@
   const auto found = link.runs.find(key);
   if (found == link.runs.end()) return;
   auto& run = found->second;
-  if (run.phase == start_phase::recording || run.phase == start_phase::to_send) {
+  if (run.is_unsent()) {
     lose_run(link, key, "not_sent", now);
     return;
   }
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -57,6 +57,10 @@
   if (owner_) step_down("paused");
 }
 
+void job_shard::on_evacuation() {
+  if (owner_) owner_->set_evacuated_zones(context_.evacuated.names(), context_.now);
+}
+
 void job_shard::on_append_ended(const append_ended& event) {
   if (event.call == caller_append_call_) return on_caller_append_ended(event.verdict);
   if (event.call == claim_call_) return on_claim_ended(event.verdict);
@@ -258,6 +262,7 @@
   owner_.emplace(
       context_.options.owner, fence, state_.table, context_.now, context_.wall, sink,
       grant_authority{context_.options.owner.grants, state_.witnesses, confirmed_at, context_.now});
+  on_evacuation();
   log(severity::info, fmt::format("event=became_owner fence={} offset={} jobs={}", fence,
                                   journal_.position(), state_.table.size()));
 }
@@ -300,7 +305,9 @@
 // Fills `owner_batch_` with what is to be recorded next. Returns whether there is anything.
 bool job_shard::take_owner_batch() {
   const auto& options = context_.options;
-  if (!context_.shutting_down) owner_->place(context_.now, context_.wall);
+  // A task could be placed in an evacuated zone that this node has not read of yet.
+  const bool may_place = !context_.shutting_down && context_.evacuated.known();
+  if (may_place) owner_->place(context_.now, context_.wall);
   if (owner_->has_batch()) {
     owner_batch_ = owner_->take_batch();
     if (owner_batch_.empty()) owner_->on_batch_recorded(context_.now);
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -36,6 +36,8 @@
   void on_listings(const std::vector<worker_listing>& listings);
   void on_unlisted(const worker_id& worker);
   void on_pause();
+  // The set of evacuated zones has changed.
+  void on_evacuation();
 
   // Claims, writes, orders and reads what is due.
   void proceed();
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coltsfoot/evacuation/evacuated_zones.h"
 #include "coltsfoot/jobs/job_owner.h"
 #include "coltsfoot/jobs/node_messages.h"
 #include "coltsfoot/jobs/owner_election.h"
@@ -23,6 +24,7 @@
   std::function<tl::expected<worker_listing, std::string>(std::string_view, std::string_view)>
       worker;
   std::string config_key;
+  evacuation_format evacuation;
 };
 
 struct job_node_options {
@@ -98,6 +100,7 @@
   bool refuses_waiting = false;
   std::size_t owned_shards = 0;  // claims under way included
   job_node_stats stats;
+  evacuated_zones evacuated{options.codec.evacuation};
 
   call_id new_call() { return ++last_call; }
   void push(node_command command) { commands.push_back(std::move(command)); }
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -98,6 +98,7 @@
 
 std::optional<placing_obstacle> worker_link::obstacle(time_point now) const {
   if (!listed) return placing_obstacle::unlisted;
+  if (evacuated) return placing_obstacle::evacuated;
   if (restarts.in_doubt() || listing_outdated) return placing_obstacle::restarted;
   if (listing->draining) return placing_obstacle::draining;
   if (transfer) return placing_obstacle::transfer;
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -37,6 +37,10 @@
   bool doubtful = false;  // an order got no answer: it may still be carried out
   // Whether no start of it can be carried out any more, not even by a later life of the worker.
   bool start_is_over() const { return listed && !doubtful; }
+  // Whether no order of it has been sent by this owner or a former one.
+  bool is_unsent() const {
+    return phase == start_phase::recording || phase == start_phase::to_send;
+  }
   time_point next_try{};
   std::uint32_t tries = 0;  // of the order that is due next
   time_point confirmed_at{};
@@ -65,6 +69,7 @@
 // Why a task can't be placed on a worker.
 enum class placing_obstacle {
   unlisted,      // the registry doesn't list the worker
+  evacuated,     // its zone is evacuated
   restarted,     // its present life, or the registry's entry of that life, is not known yet
   draining,      // it leaves
   avoided,       // it failed or rejected too much lately
@@ -86,6 +91,7 @@
   std::uint32_t former_lives = 0;         // that this owner has seen
   std::optional<worker_listing> listing;  // the newest one
   bool listed = false;                    // the registry lists it now
+  bool evacuated = false;                 // the zone of `listing` is evacuated
   // An entry with a life below the known one, until a look shows that life.
   std::optional<worker_listing> unconfirmed;
   bool listing_outdated = false;  // `listing` is of a former life
@@ -159,6 +165,7 @@
 struct enum_names<jobs::placing_obstacle> {
   static constexpr std::array table{
       std::pair{jobs::placing_obstacle::unlisted, std::string_view{"unlisted"}},
+      std::pair{jobs::placing_obstacle::evacuated, std::string_view{"evacuated"}},
       std::pair{jobs::placing_obstacle::restarted, std::string_view{"restarted"}},
       std::pair{jobs::placing_obstacle::draining, std::string_view{"draining"}},
       std::pair{jobs::placing_obstacle::avoided, std::string_view{"avoided"}},
--- /dev/null
+++ b/tests/jobs/evacuation_test.cc
@@ -0,0 +1,158 @@
+// End-to-end tests on virtual time of evacuated availability zones.
+#include <gtest/gtest.h>
+
+#include "tests/jobs/virtual_fleet.h"
+
+namespace coltsfoot::testing {
+namespace {
+
+// A request that was written this long ago has been read and carried out.
+constexpr duration effective{1'000};
+
+// Workers 0 and 1 are in zone z0, workers 2 and 3 in z1.
+const fleet_options two_zones{.workers = 4, .zones = 2};
+
+jobs::job_spec short_job(std::uint32_t width) {
+  return {.payload = "p",
+          .steps = {{.count = width,
+                     .demand = {.millicores = 1'000, .memory_mb = 500},
+                     .estimate = duration{300}}}};
+}
+
+void wait_until_settled(virtual_fleet& fleet) {
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{8'000}));
+  fleet.run_for(duration{500});
+}
+
+// Submits a job of 16 tasks every 200 ms, more than one zone takes at once.
+void submit_jobs(virtual_fleet& fleet, const std::string& prefix, int jobs) {
+  for (int i = 0; i < jobs; ++i) {
+    fleet.submit(0, prefix + std::to_string(i), short_job(16));
+    fleet.run_for(duration{200});
+  }
+}
+
+time_point last_start(virtual_fleet& fleet, int worker) {
+  return fleet.worker(worker).last_start().value_or(time_point{});
+}
+
+// Guards against starts in an evacuated zone, and against a zone that stays closed when the request
+// is revoked.
+TEST(evacuation_test, no_task_is_started_in_an_evacuated_zone_until_the_request_is_revoked) {
+  virtual_fleet fleet{two_zones};
+  wait_until_settled(fleet);
+  submit_jobs(fleet, "a", 5);
+  fleet.write_config("evacuate/z0", "{}");
+  const auto written = fleet.now();
+  submit_jobs(fleet, "b", 20);
+  for (const int worker : {0, 1}) {
+    EXPECT_GT(last_start(fleet, worker), time_point{});
+    EXPECT_LT(last_start(fleet, worker), written + effective);
+  }
+  EXPECT_GT(last_start(fleet, 2), written + effective);
+  fleet.write_config("evacuate/z0", "");
+  const auto revoked = fleet.now();
+  submit_jobs(fleet, "c", 10);
+  EXPECT_GT(last_start(fleet, 0), revoked);
+  EXPECT_TRUE(fleet.reaches(0, "b19", jobs::job_state::completed, duration{8'000}));
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
+// Guards against a successor that knows of no request, and against one that interrupts what runs.
+TEST(evacuation_test, a_successor_starts_nothing_in_the_zone_and_leaves_what_runs_there) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    virtual_fleet fleet{{.workers = 4, .seed = seed, .lost_answers = 0.1, .zones = 2}};
+    wait_until_settled(fleet);
+    submit_jobs(fleet, "a", 5);
+    fleet.write_config("evacuate/z0", "{}");
+    const auto written = fleet.now();
+    fleet.run_for(duration{100 + 150 * static_cast<int>(seed)});
+    const int owner = fleet.owner();
+    ASSERT_GE(owner, 0);
+    fleet.kill_node(owner);
+    fleet.compact_store();  // the successor of a node that starts now has a listing only
+    fleet.run_for(duration{1'000});
+    fleet.start_node(owner);
+    submit_jobs(fleet, "b", 30);
+    EXPECT_LT(last_start(fleet, 0), written + effective) << "seed " << seed;
+    EXPECT_LT(last_start(fleet, 1), written + effective) << "seed " << seed;
+    EXPECT_GT(last_start(fleet, 2), written + duration{4'000}) << "seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
+// Guards against a request that is forgotten while the store can't be read.
+TEST(evacuation_test, the_request_stays_in_force_while_the_store_is_down) {
+  virtual_fleet fleet{two_zones};
+  wait_until_settled(fleet);
+  submit_jobs(fleet, "a", 5);
+  fleet.write_config("evacuate/z0", "{}");
+  const auto written = fleet.now();
+  fleet.run_for(duration{300});
+  fleet.set_store_down(true);
+  submit_jobs(fleet, "b", 20);
+  fleet.set_store_down(false);
+  submit_jobs(fleet, "c", 20);
+  EXPECT_LT(last_start(fleet, 0), written + effective);
+  EXPECT_GT(last_start(fleet, 2), written + duration{4'000});
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
+// Guards against jobs that are lost while no zone is open.
+TEST(evacuation_test, jobs_wait_while_all_zones_are_evacuated) {
+  virtual_fleet fleet{two_zones};
+  wait_until_settled(fleet);
+  fleet.write_config("evacuate/z0", "{}");
+  fleet.write_config("evacuate/z1", "{}");
+  fleet.run_for(effective);
+  submit_jobs(fleet, "a", 10);
+  fleet.run_for(duration{5'000});
+  EXPECT_EQ(fleet.starts(), 0U);
+  EXPECT_TRUE(fleet.reaches(0, "a0", jobs::job_state::queued, duration{500}));
+  fleet.write_config("evacuate/z1", "");
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_TRUE(
+        fleet.reaches(0, "a" + std::to_string(i), jobs::job_state::completed, duration{8'000}));
+  }
+  EXPECT_EQ(last_start(fleet, 0), time_point{});
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
+// Guards against malformed values that open or close a zone, and against requests for unknown zones
+// that have an effect.
+TEST(evacuation_test, malformed_values_and_unknown_zones_change_nothing) {
+  virtual_fleet fleet{two_zones};
+  wait_until_settled(fleet);
+  fleet.write_config("evacuate/z0", "{}");
+  fleet.write_config("evacuate/z1", "[]");
+  fleet.write_config("evacuate/", "{}");
+  fleet.write_config("evacuate/elsewhere", "{}");
+  fleet.run_for(effective);
+  fleet.write_config("evacuate/z0", "no");
+  fleet.run_for(effective);
+  const auto begun = fleet.now();
+  submit_jobs(fleet, "a", 10);
+  EXPECT_LT(last_start(fleet, 0), begun);
+  EXPECT_GT(last_start(fleet, 2), begun);
+}
+
+// Guards against a worker that is open again because it was away.
+TEST(evacuation_test, a_worker_that_restarts_or_rejoins_is_still_closed) {
+  virtual_fleet fleet{two_zones};
+  wait_until_settled(fleet);
+  submit_jobs(fleet, "a", 5);
+  fleet.write_config("evacuate/z0", "{}");
+  const auto written = fleet.now();
+  fleet.run_for(duration{500});
+  fleet.crash_worker(0, duration{600});
+  fleet.set_worker_reachable(1, false);
+  submit_jobs(fleet, "b", 10);
+  fleet.set_worker_reachable(1, true);
+  submit_jobs(fleet, "c", 60);
+  EXPECT_LT(last_start(fleet, 0), written + effective);
+  EXPECT_LT(last_start(fleet, 1), written + effective);
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
+}  // namespace
+}  // namespace coltsfoot::testing
--- a/tests/jobs/fake_runner.cc
+++ b/tests/jobs/fake_runner.cc
@@ -66,6 +66,7 @@
   resources needed = work.demand;
   if (work.fills) needed.millicores = 0;
   if (!needed.fits_in(free())) return answer(order_verdict::no_room);
+  last_start_ = now;
   runs_[order.run.task] = {
       .run = order.run.run, .work = work, .began = now, .ends = now + work.length};
   return answer(order_verdict::accepted);
--- a/tests/jobs/fake_runner.h
+++ b/tests/jobs/fake_runner.h
@@ -49,6 +49,8 @@
   };
   const std::map<jobs::task_ref, running>& runs() const { return runs_; }
   resources free() const;
+  // When the newest run began, in all lives.
+  std::optional<time_point> last_start() const { return last_start_; }
   // Runs that ended because the lease was over, in all lives.
   std::size_t lapsed() const { return lapsed_; }
 
@@ -70,6 +72,7 @@
   std::vector<jobs::ended_row> ends_;
   std::uint64_t last_end_ = 0;
   std::size_t lapsed_ = 0;
+  std::optional<time_point> last_start_;
 };
 
 }  // namespace coltsfoot::testing
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -15,6 +15,7 @@
 constexpr duration entry_delay{280};  // from a worker's start until the registry lists it
 constexpr duration failing_run_length{100};
 constexpr std::string_view service = "svc";
+constexpr std::string_view evacuation_prefix = "evacuate/";
 
 // The fakes write entries in their own format; the platform's format is tested in its own
 // directory.
@@ -22,6 +23,15 @@
   return fmt::format("{} {} {}", number, runner.incarnation(), draining ? 1 : 0);
 }
 
+tl::expected<void, std::string> check_evacuation(std::string_view value) {
+  if (value.starts_with('{')) return {};
+  return tl::unexpected(std::string{"not an object"});
+}
+
+std::string zone_of(const fleet_options& options, long worker) {
+  return "z" + std::to_string(worker / 2 % options.zones);
+}
+
 jobs::store_codec codec_for(const fleet_options& options) {
   return {.config = [options](std::string_view) -> tl::expected<jobs::fleet_config, std::string> {
             jobs::fleet_config config{.version = 1};
@@ -45,11 +55,13 @@
                                         .incarnation = incarnation,
                                         .service = service_id{std::string{service}},
                                         .address = std::to_string(number),
+                                        .zone = zone_of(options, number),
                                         .draining = draining,
                                         .capacity = options.capacity,
                                         .labels = {"a", "r" + std::to_string(number / 2)}};
           },
-          .config_key = "config"};
+          .config_key = "config",
+          .evacuation = {.key_prefix = std::string{evacuation_prefix}, .check = check_evacuation}};
 }
 
 std::uint32_t strength_of(const fleet_options& options, int node) {
@@ -218,6 +230,11 @@
              encode_worker(state.runner, worker, draining));
 }
 
+void virtual_fleet::write_config(const std::string& key, const std::string& value) {
+  absences_.on_trouble(now_);
+  store_.put(jobs::store_topic::configuration, key, value);
+}
+
 void virtual_fleet::beat() {
   for (std::size_t i = 0; i < workers_.size(); ++i) {
     if (workers_[i].reachable && !is_silent(static_cast<int>(i)))
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -40,6 +40,7 @@
   double slack_factor = 1;
   duration latency_target{0};
   std::size_t workers_per_shard = 128;
+  int zones = 1;                // workers of racks 0, 1, ... are in zones "z0", "z1", ..., in turn
   double link_bytes_per_s = 0;  // that each node can send; 0: no bound
   // Whether an end counts as noted once a worker has listed it, though the answer may be lost.
   bool listed_ends_are_noted = false;
@@ -90,6 +91,8 @@
   // While set, all runs that the worker starts fail soon.
   void set_worker_failing(int worker, bool failing);
   void list_worker(int worker, bool draining);
+  // Writes a record to the operator's topic; an empty value removes the key.
+  void write_config(const std::string& key, const std::string& value);
   void compact_store() {
     absences_.on_trouble(now_);
     store_.compact();
