Move slow fill runs to workers where they work at full speed

Callers saw steps whose slowest task took 4.4 times as long as the median one: a fill task stayed where it was placed, however far the serving tasks beside it had it paced down.

A run is stopped at a checkpoint and placed again where a worker has room for it at full speed, if its own measured progress says that the task then ends earlier, by a margin. The target holds room for it, and it is placed before other waiting tasks. It is switched on by the setting restore_ms; without it nothing changes.

--- a/coltsfoot/config/fleet_settings.cc
+++ b/coltsfoot/config/fleet_settings.cc
@@ -46,6 +46,9 @@
 constexpr std::string_view processor_key = "processor_cores";
 constexpr double most_cores = 1'024;
 
+constexpr std::string_view restore_key = "restore_ms";
+constexpr duration longest_restore{60'000};
+
 constexpr std::string_view link_key = "link_mbps";
 constexpr double most_link_mbps = 1'000'000;
 
@@ -114,6 +117,20 @@
   return std::nullopt;
 }
 
+// Unlike other times it may be short, or 0, which is the same as no setting.
+std::optional<config_error> read_restore(const YAML::Node& root, const std::string& file,
+                                         fleet_settings& out) {
+  const auto node = root[std::string{restore_key}];
+  if (!node || node.IsNull()) return std::nullopt;
+  std::int64_t value = 0;
+  const bool is_number = YAML::convert<std::int64_t>::decode(node, value);
+  if (!is_number || value < 0 || duration{value} > longest_restore) {
+    return error_at(node, file, restore_key, "is no whole number of milliseconds from 0 to 60000");
+  }
+  out.restore = duration{value};
+  return std::nullopt;
+}
+
 std::optional<config_error> read_link(const YAML::Node& root, const std::string& file,
                                       fleet_settings& out) {
   const auto node = root[std::string{link_key}];
@@ -140,6 +157,7 @@
   for (const auto& key : number_keys) names.push_back(key.name);
   names.push_back(processor_key);
   names.push_back(link_key);
+  names.push_back(restore_key);
   if (auto error = check_map(*root, file, names)) return tl::unexpected(std::move(*error));
   fleet_settings out;
   for (const auto& key : text_keys) {
@@ -155,6 +173,7 @@
   }
   if (auto error = read_processor(*root, file, out)) return tl::unexpected(std::move(*error));
   if (auto error = read_link(*root, file, out)) return tl::unexpected(std::move(*error));
+  if (auto error = read_restore(*root, file, out)) return tl::unexpected(std::move(*error));
   return out;
 }
 
--- a/coltsfoot/config/fleet_settings.h
+++ b/coltsfoot/config/fleet_settings.h
@@ -26,6 +26,8 @@
   std::uint32_t journal_partitions = 1;    // of the store, the most shards there can be
   duration longest_lease{10'000};          // that a worker grants
   duration shutdown_grace{6'000};          // from the stop signal to the kill
+  // That a task takes to resume from a checkpoint; 0: slow fill tasks stay where they are.
+  duration restore{0};
 };
 
 // All keys that have no default must be given. Unknown keys are errors.
--- a/coltsfoot/config/fleet_settings_test.cc
+++ b/coltsfoot/config/fleet_settings_test.cc
@@ -42,6 +42,22 @@
   }
 }
 
+// A platform may tell a short time, or none at all.
+TEST(fleet_settings_test, reads_the_time_that_a_checkpoint_takes) {
+  const auto restore_of = [](const std::string& line) {
+    const auto settings = parse_fleet_settings(complete + line, "f.yaml");
+    return settings ? settings->restore : duration{-1};
+  };
+  EXPECT_EQ(restore_of(""), duration{0});
+  EXPECT_EQ(restore_of("restore_ms:\n"), duration{0});
+  EXPECT_EQ(restore_of("restore_ms: 0\n"), duration{0});
+  EXPECT_EQ(restore_of("restore_ms: 40\n"), duration{40});
+  for (const auto* wrong : {"restore_ms: -1\n", "restore_ms: soon\n", "restore_ms: 60001\n"}) {
+    EXPECT_NE(error_of(complete + wrong).find("restore_ms: is no whole number"), std::string::npos)
+        << error_of(complete + wrong);
+  }
+}
+
 TEST(fleet_settings_test, errors_name_the_file_and_the_key) {
   EXPECT_NE(error_of("node: n1\n").find("zone: is missing"), std::string::npos);
   EXPECT_NE(error_of(complete + "colour: red\n").find("f.yaml:8: colour"), std::string::npos)
--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -166,6 +166,7 @@
                 .config_key = std::string{platform::config_key}}};
   options.owner.longest_lease = settings.longest_lease;
   options.owner.lease = std::min(options.owner.lease, settings.longest_lease);
+  options.owner.relocation.restore = settings.restore;
   options.layout.most_shards = settings.journal_partitions;
   options.layout.link_bytes_per_s = settings.link_bytes_per_s;
   options.drain_time =
--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -46,6 +46,9 @@
   page.add_counter("task_paces_total", stats.paces);
   page.add_counter("worker_transfers_total", stats.transfers);
   page.add_counter("task_handovers_total", stats.handovers);
+  page.add_counter("slow_moves_total", stats.slow_moves);
+  page.add_gauge("slow_move_gain_seconds",
+                 std::chrono::duration<double>(stats.slow_move_gain).count());
   page.add_counter("runs_lost_total", stats.runs_lost);
   page.add_counter("starts_rejected_total", stats.rejected);
   page.add_counter("orders_unanswered_total", stats.unanswered);
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -29,6 +29,8 @@
   paces += other.paces;
   transfers += other.transfers;
   handovers += other.handovers;
+  slow_moves += other.slow_moves;
+  slow_move_gain += other.slow_move_gain;
   completed += other.completed;
   failed += other.failed;
   until_recorded.merge(other.until_recorded);
@@ -46,6 +48,7 @@
       log_(std::move(log)),
       wall_(wall),
       grants_(std::move(authority)),
+      slow_runs_(options.relocation),
       window_(options.window),
       answers_(options.answers),
       start_retries_(options.start_retries) {
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -34,6 +34,8 @@
 #include "coltsfoot/jobs/worker_calls.h"
 #include "coltsfoot/jobs/worker_link.h"
 #include "coltsfoot/observe/latency_histogram.h"
+#include "coltsfoot/relocation/moves_under_way.h"
+#include "coltsfoot/relocation/slow_runs.h"
 #include "coltsfoot/routing/retry_budget.h"
 #include "coltsfoot/transport/transport_error.h"
 
@@ -80,6 +82,7 @@
   // room which is there for 3 s.
   duration handover_patience{1'000};
   duration repeated_handover_patience{2'000};
+  relocation::relocation_options relocation;
 };
 
 struct job_owner_stats {
@@ -93,6 +96,8 @@
   std::uint64_t paces = 0;       // orders to work slower or faster
   std::uint64_t transfers = 0;   // workers given to other shards
   std::uint64_t handovers = 0;   // tasks given to other shards
+  std::uint64_t slow_moves = 0;  // filling runs stopped to work faster elsewhere
+  duration slow_move_gain{0};    // that was expected of them
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
   latency_histogram until_recorded;  // of a start, from its placing
@@ -265,6 +270,13 @@
   placement_request request_for(const job& j, std::uint32_t occurrence, std::uint32_t step) const;
   bool occurrence_due(const job& j, std::uint32_t occurrence) const;
 
+  // Moves of slow filling runs.
+  void note_progress(const worker_link& link, placed_run& run, std::uint32_t percent,
+                     time_point now) const;
+  void learn_speed(placed_run& run, time_point now);
+  void relocate_slow_runs(time_point now);
+  void place_moved(time_point now);
+
   // Workers.
   worker_link* link_of(const worker_life& life);
   placed_run* run_of(worker_link& link, const run_ref& run, task_key& key);
@@ -331,6 +343,10 @@
   std::map<worker_id, remembered_lives> remembered_;  // of workers that have no link any more
   interference_model model_{{}};
   estimate_correction correction_;
+  relocation::typical_speeds speeds_;
+  relocation::slow_run_finder slow_runs_;
+  relocation::moves_under_way moves_;
+  time_point next_relocation_{};
   std::map<job_id, time_point> waiting_;  // open jobs with a task that could be placed, since when
   std::map<job_id, time_point> runless_since_;  // waiting jobs without a run
   bool room_is_free_ = false;                   // of the present placing pass
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -34,6 +34,7 @@
   room_is_free_ = much_room_is_free();
   starts_left_ =
       window_.room_beside(ready_starts_.size() + next_.starts.size() + in_flight_.starts.size());
+  place_moved(now);
   std::vector<std::pair<job_urgency, job*>> order;
   order.reserve(waiting_.size());
   for (const auto& [id, since] : waiting_) {
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -28,6 +28,7 @@
   watch_grants(now);
   tend_workers(now);
   send_ready_starts(now);
+  relocate_slow_runs(now);
   for (const auto& id : std::vector<job_id>{cancelling_.begin(), cancelling_.end()}) {
     if (auto* j = table_.find(id)) {
       stop_runs_of(id, now);
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -29,6 +29,7 @@
   run.headroom = 0;
   run.over_since.reset();
   run.pace_unsure = run.pace < 100;
+  run.progress = {};
 }
 
 // Weight of a new figure beside the former ones, which it replaces with this time constant.
@@ -364,6 +365,7 @@
   }
   run->listed = true;
   mark_started(*table_.find(key.job));
+  note_progress(link, *run, row.percent, now);
   if (row.percent != run->percent || run->progressed_at == time_point{}) {
     run->percent = row.percent;
     run->progressed_at = now;
@@ -379,6 +381,7 @@
   const bool wanted = run->stop_wanted;
   const auto began = run->began;
   const auto taken = now - began;
+  if (row.end == run_end::done) learn_speed(*run, now);
   link.remove(key);
   auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
--- a/coltsfoot/jobs/worker_link.cc
+++ b/coltsfoot/jobs/worker_link.cc
@@ -34,7 +34,8 @@
           .long_running = step.long_running,
           .image = step.image,
           .response_target = step.response_target,
-          .began = now};
+          .began = now,
+          .estimate = step.estimate};
 }
 
 void worker_link::add(const task_key& key, placed_run run) {
@@ -64,6 +65,22 @@
   runs.erase(found);
 }
 
+void worker_link::hold(const task_key& key, const held_room& room) {
+  if (!holds.emplace(key, room).second) return;
+  used += room.demand;
+  fill_millicores += room.fill_millicores;
+  paced_fill_millicores += room.fill_millicores;
+}
+
+void worker_link::release(const task_key& key) {
+  const auto found = holds.find(key);
+  if (found == holds.end()) return;
+  used -= found->second.demand;
+  fill_millicores -= found->second.fill_millicores;
+  paced_fill_millicores -= found->second.fill_millicores;
+  holds.erase(found);
+}
+
 void worker_link::set_pace(placed_run& run, std::uint32_t percent) {
   paced_fill_millicores -= paced_millicores(run);
   run.pace = percent;
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -12,6 +12,7 @@
 #include "coltsfoot/jobs/restart_watch.h"
 #include "coltsfoot/jobs/worker_backoff.h"
 #include "coltsfoot/jobs/worker_calls.h"
+#include "coltsfoot/relocation/run_progress.h"
 
 namespace coltsfoot::jobs {
 
@@ -57,6 +58,9 @@
   bool pace_unsure = false;              // whether it works at `pace` is not known
   time_point began{};                    // when it was placed
   time_point sent_at{};                  // when its newest start order was sent
+  duration estimate{0};                  // of the whole task
+  relocation::run_progress progress;     // of a filling task
+  std::uint32_t moves = 0;               // of the task, because it was slow elsewhere
 };
 
 // Returns a run of a task of `step` that is placed now and not recorded yet.
@@ -101,6 +105,14 @@
   std::int64_t serving_millicores = 0;
   std::int64_t long_running_millicores = 0;
 
+  // Room of tasks that are on their way here from workers where they were slow. It is counted as
+  // used by filling tasks at full speed.
+  struct held_room {
+    resources demand;
+    std::int64_t fill_millicores = 0;
+  };
+  std::map<task_key, held_room> holds;
+
   time_point tails_at{};  // of the newest report with tails of serving tasks
   time_point paced_at{};  // when the pace of a run was changed last
 
@@ -132,6 +144,8 @@
 
   void add(const task_key& key, placed_run run);
   void remove(const task_key& key);
+  void hold(const task_key& key, const held_room& room);
+  void release(const task_key& key);
   // Changes the pace of a run that is on this worker.
   void set_pace(placed_run& run, std::uint32_t percent);
   resources free() const;
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -119,6 +119,7 @@
                                  .codec = codec_for(options_),
                                  .store = options_.store,
                                  .layout = {.workers_per_shard = options_.workers_per_shard}};
+  options.owner.relocation.restore = options_.restore;
   state.core = std::make_unique<jobs::job_node>(std::move(options), now_, log);
   tick(node, state.life);
 }
@@ -294,7 +295,9 @@
           .demand = step.demand,
           .fills = step.fill,
           .lasts = step.long_running,
-          .fails = fails};
+          .fails = fails,
+          .checkpoints = step.checkpoints,
+          .response_target = step.response_target};
 }
 
 std::size_t virtual_fleet::running(const std::string& id) const {
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -43,6 +43,7 @@
   double link_bytes_per_s = 0;  // that each node can send; 0: no bound
   // Whether an end counts as noted once a worker has listed it, though the answer may be lost.
   bool listed_ends_are_noted = false;
+  duration restore{0};  // set for the nodes; 0: slow fill tasks stay where they are
   jobs::store_limits store;
   std::vector<std::uint32_t> strengths;  // per node; the last one applies to all further nodes
 };
@@ -87,6 +88,10 @@
   // The worker loses its runs, is silent for a while and starts again under its id. Orders that
   // were sent meanwhile reach its next life, as connections that are tried again do.
   void crash_worker(int worker, duration silence);
+  // Is called after a worker has carried out a stop.
+  void set_stop_hook(std::function<void(const jobs::run_ref&)> hook) {
+    stop_hook_ = std::move(hook);
+  }
   // While set, all runs that the worker starts fail soon.
   void set_worker_failing(int worker, bool failing);
   void list_worker(int worker, bool draining);
@@ -187,6 +192,7 @@
   bool store_down_ = false;
   duration append_time_{5};
   bool late_caller_appends_ = false;
+  std::function<void(const jobs::run_ref&)> stop_hook_;
   std::vector<node_state> nodes_;
   std::vector<worker_state> workers_;
   std::set<std::pair<int, int>> worker_cuts_;  // node and worker
--- a/tests/jobs/virtual_fleet_commands.cc
+++ b/tests/jobs/virtual_fleet_commands.cc
@@ -164,6 +164,9 @@
     check_runs();
   } else if (const auto* stop = std::get_if<jobs::stop_order>(&c.order.order)) {
     std::get<jobs::stop_answered>(result).answer = state.runner.stop(*stop, c.fence, now_);
+    if (answered && stop_hook_) stop_hook_(stop->run);
+  } else if (const auto* pace = std::get_if<jobs::pace_order>(&c.order.order)) {
+    std::get<jobs::pace_answered>(result).answer = state.runner.pace(*pace, c.fence, now_);
   }
   if (!answered) return;
   after(network_delay, [this, node, order, result] { end_order(node, order, result); });
