--- a/coltsfoot/config/fleet_settings.cc
+++ b/coltsfoot/config/fleet_settings.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -38,10 +39,15 @@
 struct number_key {
   std::string_view name;
   std::uint32_t fleet_settings::* member;
+  std::uint32_t least;
   std::uint32_t most;
 };
 constexpr std::array number_keys{
-    number_key{"journal_partitions", &fleet_settings::journal_partitions, 1'024}};
+    number_key{"journal_partitions", &fleet_settings::journal_partitions, 1, 1'024},
+    number_key{"memory_mb", &fleet_settings::memory_mb, 16, 16'777'216},
+    number_key{"file_descriptors", &fleet_settings::file_descriptors, 128, 16'777'216},
+    number_key{"client_memory_mb", &fleet_settings::client_memory_mb, 4, 1'048'576},
+    number_key{"client_connections", &fleet_settings::client_connections, 16, 1'048'576}};
 
 constexpr std::string_view processor_key = "processor_cores";
 constexpr double most_cores = 1'024;
@@ -91,12 +97,15 @@
                                         const number_key& key, fleet_settings& out) {
   const auto node = root[std::string{key.name}];
   if (!node) return std::nullopt;
-  std::uint32_t value = 0;
-  if (!YAML::convert<std::uint32_t>::decode(node, value) || value < 1 || value > key.most) {
-    return error_at(node, file, key.name,
-                    "is no whole number from 1 to " + std::to_string(key.most));
+  // The platform may write a whole number with a fraction of zero.
+  double value = 0;
+  if (!YAML::convert<double>::decode(node, value) || !(value >= key.least && value <= key.most) ||
+      value != std::floor(value)) {
+    return error_at(
+        node, file, key.name,
+        "is no whole number from " + std::to_string(key.least) + " to " + std::to_string(key.most));
   }
-  out.*key.member = value;
+  out.*key.member = static_cast<std::uint32_t>(value);
   return std::nullopt;
 }
 
--- a/coltsfoot/config/fleet_settings.h
+++ b/coltsfoot/config/fleet_settings.h
@@ -24,8 +24,13 @@
   std::uint32_t processor_millicores = 0;  // of this node, in thousandths of a core; 0: unknown
   double link_bytes_per_s = 0;             // of this node's link; 0: unknown
   std::uint32_t journal_partitions = 1;    // of the store, the most shards there can be
-  duration longest_lease{10'000};          // that a worker grants
-  duration shutdown_grace{6'000};          // from the stop signal to the kill
+  // Limits on clients. 0: derived, see client_limits.h.
+  std::uint32_t memory_mb = 0;           // of this node; 0: of the machine
+  std::uint32_t file_descriptors = 0;    // of this node; 0: the limit of the process
+  std::uint32_t client_memory_mb = 0;    // unfinished requests and unread responses
+  std::uint32_t client_connections = 0;  // open connections of clients, all listeners
+  duration longest_lease{10'000};        // that a worker grants
+  duration shutdown_grace{6'000};        // from the stop signal to the kill
 };
 
 // All keys that have no default must be given. Unknown keys are errors.
--- a/coltsfoot/config/fleet_settings_test.cc
+++ b/coltsfoot/config/fleet_settings_test.cc
@@ -42,6 +42,26 @@
   }
 }
 
+// Guards against limits on clients that are taken without a check, or refused without their name.
+TEST(fleet_settings_test, reads_the_limits_on_clients) {
+  const auto settings = parse_fleet_settings(
+      complete +
+          "memory_mb: 160.0\nfile_descriptors: 4100\nclient_memory_mb: 8\nclient_connections: 40\n",
+      "f.yaml");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->memory_mb, 160U);
+  EXPECT_EQ(settings->file_descriptors, 4'100U);
+  EXPECT_EQ(settings->client_memory_mb, 8U);
+  EXPECT_EQ(settings->client_connections, 40U);
+  for (const std::string key :
+       {"memory_mb", "file_descriptors", "client_memory_mb", "client_connections"}) {
+    for (const std::string value : {"0", "-1", "many", "1.5", "99999999"}) {
+      const auto error = error_of(complete + key + ": " + value + "\n");
+      EXPECT_NE(error.find("f.yaml:8: " + key), std::string::npos) << key << value << ": " << error;
+    }
+  }
+}
+
 TEST(fleet_settings_test, errors_name_the_file_and_the_key) {
   EXPECT_NE(error_of("node: n1\n").find("zone: is missing"), std::string::npos);
   EXPECT_NE(error_of(complete + "colour: red\n").find("f.yaml:8: colour"), std::string::npos)
--- a/coltsfoot/config/settings.h
+++ b/coltsfoot/config/settings.h
@@ -53,6 +53,11 @@
   std::uint64_t max_requests_in_flight = 0;
   std::uint64_t max_queued_requests = 0;
   std::uint64_t max_queued_tasks = 0;
+  // Limits on clients. 0: derived, see client_limits.h.
+  std::uint64_t memory_mb = 0;
+  std::uint64_t file_descriptors = 0;
+  std::uint64_t client_memory_mb = 0;
+  std::uint64_t client_connections = 0;
   double urgent_floor = 0;
   double deferrable_floor = 0;
   double retry_budget = 0;
