coltsfoot_fleetd: one budget for what clients hold and never complete

Callers saw a node die without memory when others sent many bodies that never end, and get no connection when others opened many. Cause: each request was bounded, but not all together, RESTinio keeps 16 bytes for each chunk, and connections were bounded for each listener only.

Change: client_budget counts incomplete requests, requests that wait, unread responses and connections of all listeners, and closes what has been incomplete, unread or idle for longest; an incomplete request is answered 503 "not run" and can't run after that. client_socket and counted_parser attach it to RESTinio without a second parse. Chunk entries are not kept, and a request's body is held once instead of twice. Limits come from memory_mb and file_descriptors or are given, are checked at the start, reloaded by SIGHUP (the whole file or nothing), and exported as metrics. The template fills memory_mb and file_descriptors. Readiness and metrics take bodies of 512 KiB now, not 16 MiB.

--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "coltsfoot/daemon/caller_gateway.h"
+#include "coltsfoot/daemon/client_limits.h"
 #include "coltsfoot/daemon/fleet_metrics.h"
 #include "coltsfoot/daemon/load_monitor.h"
 #include "coltsfoot/daemon/mailbox.h"
@@ -41,6 +42,8 @@
 // Closing the connections to all workers of a large fleet at the same time would delay orders.
 constexpr duration max_worker_connection_idle_time{60'000};
 
+constexpr std::size_t max_caller_body_bytes = std::size_t{512} * 1024;
+
 // Part of the shutdown grace period that is reserved for closing the sockets.
 constexpr duration socket_close_margin{1'500};
 
@@ -129,8 +132,10 @@
 };
 
 void run_control_thread(jobs::job_node& node, node_mailbox& events, fleet_executor& executor,
-                        const std::vector<http_client*>& clients, shared_text& metrics) {
+                        const std::vector<http_client*>& clients, const client_budget& budget,
+                        shared_text& metrics) {
   load_monitor load;
+  client_close_log closes;
   auto next_tick = boot_time_now();
   auto next_metrics = next_tick;
   while (!executor.ended()) {
@@ -150,7 +155,9 @@
     if (const auto line = load.sample(clients, handled_at)) log_line(severity::info, *line);
     if (now >= next_metrics) {
       next_metrics = now + metrics_interval;
-      metrics.set(fleet_metrics_page(node, load));
+      const auto client_use = budget.stats();
+      metrics.set(fleet_metrics_page(node, load, client_use));
+      if (const auto line = closes.sample(client_use, now)) log_line(severity::warning, *line);
     }
   }
 }
@@ -186,24 +193,40 @@
   return signals;
 }
 
-void reload_settings(const std::string& path) {
+tl::expected<client_limits, std::string> limits_of(const fleet_settings& settings) {
+  return resolve_client_limits({.memory_mb = settings.memory_mb,
+                                .file_descriptors = settings.file_descriptors,
+                                .client_memory_mb = settings.client_memory_mb,
+                                .client_connections = settings.client_connections},
+                               read_machine(), largest_request_bytes(max_caller_body_bytes));
+}
+
+void log_rejected_settings(const std::string& detail) {
+  log_line(severity::error, "event=settings_rejected detail=" + log_value(detail));
+}
+
+// The limits on clients take effect at once, and only if the whole file is valid.
+void reload_settings(const std::string& path, client_budget& clients) {
   const auto settings = load_fleet_settings(path);
-  if (!settings) {
-    log_line(severity::error,
-             "event=settings_rejected detail=" + log_value(to_string(settings.error())));
-    return;
-  }
-  log_line(severity::info, "event=settings_read note=" + log_value("addresses hold until restart"));
+  if (!settings) return log_rejected_settings(to_string(settings.error()));
+  const auto limits = limits_of(*settings);
+  if (!limits) return log_rejected_settings(limits.error());
+  clients.set_limits(*limits);
+  log_line(severity::info,
+           fmt::format("event=settings_read client_bytes={} client_connections={} note={}",
+                       limits->bytes, limits->connections,
+                       log_value("all but the limits on clients holds until restart")));
 }
 
 // Handles signals until the control thread sends SIGUSR1, which it does when it has ended.
-void handle_signals(const sigset_t& signals, node_mailbox& events, const std::string& path) {
+void handle_signals(const sigset_t& signals, node_mailbox& events, const std::string& path,
+                    client_budget& clients) {
   int received = 0;
   while (sigwait(&signals, &received) == 0) {
     log_line(severity::info, fmt::format("event=signal number={}", received));
     if (received == SIGUSR1) return;
     if (received == SIGHUP) {
-      reload_settings(path);
+      reload_settings(path, clients);
     } else {
       events.push(jobs::shutdown_asked{});
     }
@@ -227,6 +250,13 @@
   log_line(severity::info,
            fmt::format("event=starting version={} zone={} callers={} store={}", COLTSFOOT_VERSION,
                        log_value(settings.zone), settings.caller_address, settings.store_address));
+  const auto limits = limits_of(settings);
+  if (!limits) {
+    log_line(severity::error,
+             "event=start_failed part=client_limits detail=" + log_value(limits.error()));
+    return 1;
+  }
+  const auto clients = std::make_shared<client_budget>(*limits);
   node_mailbox events;
   shared_text metrics;
   // Two clients, so that requests to many workers do not delay those to the store.
@@ -250,7 +280,8 @@
   caller_gateway callers{
       {.ip = caller_listen.ip,
        .port = caller_listen.port,
-       .max_body_bytes = std::size_t{512} * 1024},
+       .max_body_bytes = max_caller_body_bytes,
+       .clients = clients},
       platform::encode_caller_answer({.verdict = jobs::caller_verdict::unavailable,
                                       .retry_after = options.retry_after,
                                       .detail = "the node is shutting down"}),
@@ -265,14 +296,20 @@
 
   const auto readiness_listen = to_listen_address(settings.readiness_address);
   internal::rest_listener readiness{
-      {.ip = readiness_listen.ip, .port = readiness_listen.port},
+      {.ip = readiness_listen.ip,
+       .port = readiness_listen.port,
+       .max_body_bytes = max_caller_body_bytes,
+       .clients = clients},
       [&](const internal::rest_request& request, const internal::rest_responder& respond) {
         const bool known = request.target == platform::readiness_path;
         respond({.status = !known ? 404 : executor.ready() ? 200 : 503});
       }};
   const auto metrics_listen = to_listen_address(settings.metrics_address);
   internal::rest_listener metrics_server{
-      {.ip = metrics_listen.ip, .port = metrics_listen.port},
+      {.ip = metrics_listen.ip,
+       .port = metrics_listen.port,
+       .max_body_bytes = max_caller_body_bytes,
+       .clients = clients},
       [&](const internal::rest_request&, const internal::rest_responder& respond) {
         respond(
             {.headers = {{.name = "Content-Type", .value = std::string{exposition::content_type}}},
@@ -284,10 +321,10 @@
   }
   jobs::job_node node{options, boot_time_now(), sink};
   std::thread control{[&] {
-    run_control_thread(node, events, executor, {&store_http, &worker_http}, metrics);
+    run_control_thread(node, events, executor, {&store_http, &worker_http}, *clients, metrics);
     kill(getpid(), SIGUSR1);
   }};
-  handle_signals(signals, events, settings_path);
+  handle_signals(signals, events, settings_path, *clients);
   control.join();
   const auto unwritten = callers.close(response_write_timeout);
   log_line(unwritten == 0 ? severity::info : severity::warning,
--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "coltsfoot/daemon/client_limits.h"
 #include "coltsfoot/observe/exposition.h"
 #include "coltsfoot/observe/logger.h"
 
@@ -66,7 +67,8 @@
 
 }  // namespace
 
-std::string fleet_metrics_page(const jobs::job_node& node, const load_monitor& load) {
+std::string fleet_metrics_page(const jobs::job_node& node, const load_monitor& load,
+                               const client_budget_stats& clients) {
   exposition page;
   const auto& stats = node.stats();
   page.add_gauge("owned_shards", static_cast<double>(node.owned_shards()));
@@ -85,6 +87,7 @@
   page.add_counter("takeovers_total", stats.takeovers);
   page.add_counter("step_downs_total", stats.step_downs);
   load.add_metrics(page);
+  add_client_metrics(page, clients);
   if (node.owned_shards() > 0) add_owner_metrics(page, sum_owned_shards(node));
   return page.text();
 }
--- /dev/null
+++ b/coltsfoot/transport/client_budget.cc
@@ -0,0 +1,185 @@
+#include "coltsfoot/transport/client_budget.h"
+
+#include <sys/socket.h>
+
+#include <string_view>
+#include <utility>
+
+namespace coltsfoot {
+namespace {
+
+constexpr std::string_view not_run_response =
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    "Retry-After: 1\r\n"
+    "Connection: close\r\n"
+    "Content-Type: text/plain\r\n"
+    "Content-Length: 71\r\n"
+    "\r\n"
+    "not run: the server closes incomplete requests because it is overloaded";
+
+// Neither waits nor fails: a client whose receive buffer is full only sees the end.
+void send_not_run(int descriptor) {
+  static_cast<void>(::send(descriptor, not_run_response.data(), not_run_response.size(),
+                           MSG_DONTWAIT | MSG_NOSIGNAL));
+}
+
+}  // namespace
+
+void client_budget::set_limits(client_limits limits) {
+  const std::lock_guard lock{mutex_};
+  limits_ = limits;
+  enforce_bytes();
+  while (connections_ > limits_.connections) {
+    auto* account = oldest({idle, receiving, sending});
+    if (account == nullptr) return;
+    close(*account, client_close_cause::connections);
+  }
+}
+
+client_budget_stats client_budget::stats() const {
+  const std::lock_guard lock{mutex_};
+  return {.bytes = bytes_, .connections = connections_, .limits = limits_, .closed = closed_};
+}
+
+void client_budget::move_to_phase(client_account& account) {
+  const auto phase = account.phase();
+  if (!account.listed_ || phase == account.listed_phase_) return;
+  auto& to = accounts_[phase];
+  to.splice(to.end(), accounts_[account.listed_phase_], account.place_);
+  account.listed_phase_ = phase;
+  account.since_ = ++last_change_;
+}
+
+void client_budget::change_bytes(client_account& account, std::size_t bytes) {
+  bytes_ += bytes - account.bytes_;
+  if (!account.listed_) retired_bytes_ += bytes - account.bytes_;
+  account.bytes_ = bytes;
+}
+
+void client_budget::enforce_bytes() {
+  while (bytes_ - retired_bytes_ > limits_.bytes) {
+    auto* account = oldest({receiving, sending});
+    if (account == nullptr) return;
+    close(*account, account->listed_phase_ == sending ? client_close_cause::memory_sending
+                                                      : client_close_cause::memory_receiving);
+  }
+}
+
+bool client_budget::admit_connection() {
+  if (connections_ < limits_.connections) return true;
+  auto* account = oldest({idle, receiving, sending});
+  if (account == nullptr) {
+    count(client_close_cause::refused);
+    return false;
+  }
+  close(*account, client_close_cause::connections);
+  return true;
+}
+
+client_account* client_budget::oldest(std::initializer_list<phase> candidates) const {
+  client_account* found = nullptr;
+  for (const auto phase : candidates) {
+    if (accounts_[phase].empty()) continue;
+    auto* first = accounts_[phase].front();
+    if (found == nullptr || first->since_ < found->since_) found = first;
+  }
+  return found;
+}
+
+void client_budget::close(client_account& account, client_close_cause cause) {
+  count(cause);
+  account.closed_ = true;
+  if (account.listed_phase_ == receiving) send_not_run(account.descriptor_);
+  // Wakes the connection's own thread, which then closes the descriptor.
+  ::shutdown(account.descriptor_, SHUT_RDWR);
+  retire(account);
+}
+
+void client_budget::retire(client_account& account) {
+  if (!account.listed_) return;
+  accounts_[account.listed_phase_].erase(account.place_);
+  account.listed_ = false;
+  retired_bytes_ += account.bytes_;
+  --connections_;
+}
+
+std::shared_ptr<client_account> client_account::open(std::shared_ptr<client_budget> budget,
+                                                     int descriptor) {
+  auto& b = *budget;
+  // The constructor is private.
+  const std::shared_ptr<client_account> account{new client_account{std::move(budget), descriptor}};
+  const std::lock_guard lock{b.mutex_};
+  if (!b.admit_connection()) {
+    send_not_run(descriptor);
+    return nullptr;
+  }
+  auto& accounts = b.accounts_[client_budget::idle];
+  account->place_ = accounts.insert(accounts.end(), account.get());
+  account->listed_ = true;
+  account->since_ = ++b.last_change_;
+  ++b.connections_;
+  b.change_bytes(*account, client_connection_bytes);
+  b.enforce_bytes();
+  return account;
+}
+
+client_account::~client_account() {
+  const std::lock_guard lock{budget_->mutex_};
+  budget_->retire(*this);
+  budget_->change_bytes(*this, 0);
+}
+
+client_budget::phase client_account::phase() const {
+  if (handled_requests_ > 0) return client_budget::handling;
+  if (unsent_responses_ > 0) return client_budget::sending;
+  return receives_ ? client_budget::receiving : client_budget::idle;
+}
+
+void client_account::receive(std::size_t bytes) {
+  const std::lock_guard lock{budget_->mutex_};
+  receives_ = true;
+  budget_->change_bytes(*this, bytes_ - received_bytes_ + bytes);
+  received_bytes_ = bytes;
+  budget_->move_to_phase(*this);
+  budget_->enforce_bytes();
+}
+
+bool client_account::begin_handling(std::size_t bytes) {
+  const std::lock_guard lock{budget_->mutex_};
+  if (closed_) return false;
+  receives_ = false;
+  ++handled_requests_;
+  budget_->change_bytes(*this, bytes_ - received_bytes_ + bytes);
+  received_bytes_ = 0;
+  handled_bytes_ += bytes;
+  budget_->move_to_phase(*this);
+  budget_->enforce_bytes();
+  return true;
+}
+
+void client_account::begin_sending(std::size_t request_bytes, std::size_t response_bytes) {
+  const std::lock_guard lock{budget_->mutex_};
+  --handled_requests_;
+  handled_bytes_ -= request_bytes;
+  ++unsent_responses_;
+  unsent_bytes_ += response_bytes;
+  budget_->change_bytes(*this, bytes_ - request_bytes + response_bytes);
+  budget_->move_to_phase(*this);
+  budget_->enforce_bytes();
+}
+
+void client_account::end_sending(std::size_t response_bytes) {
+  const std::lock_guard lock{budget_->mutex_};
+  --unsent_responses_;
+  unsent_bytes_ -= response_bytes;
+  budget_->change_bytes(*this, bytes_ - response_bytes);
+  budget_->move_to_phase(*this);
+}
+
+void client_account::detach() {
+  const std::lock_guard lock{budget_->mutex_};
+  budget_->retire(*this);
+  descriptor_ = -1;
+}
+
+}  // namespace coltsfoot
--- /dev/null
+++ b/coltsfoot/transport/client_budget.h
@@ -0,0 +1,133 @@
+// Bounds what clients hold of a process that they may never complete: memory of incomplete requests
+// and unread responses, and open connections. One budget is shared by all HTTP listeners of the
+// process. When a limit is reached, the connections that have been in their phase for longest are
+// closed. Requests that are complete are never closed.
+//
+//   auto clients = std::make_shared<client_budget>(client_limits{.bytes = 40 << 20});
+//   http_server server{{.clients = clients}, ...};
+//   clients->set_limits(new_limits);  // closes at once what is above them
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <list>
+#include <memory>
+#include <mutex>
+
+namespace coltsfoot {
+
+struct client_limits {
+  std::size_t bytes = std::numeric_limits<std::size_t>::max();
+  std::size_t connections = std::numeric_limits<std::size_t>::max();
+};
+
+// Why connections were closed.
+enum class client_close_cause {
+  memory_receiving,  // an incomplete request, because of the memory
+  memory_sending,    // a response that is not read, because of the memory
+  connections,       // idle or incomplete, in favour of a new connection
+  refused            // a new connection, while the others all wait for their response
+};
+inline constexpr std::size_t client_close_causes = 4;
+
+struct client_budget_stats {
+  std::size_t bytes = 0;  // of connections that are being closed too
+  std::size_t connections = 0;
+  client_limits limits;
+  std::array<std::uint64_t, client_close_causes> closed{};  // since the start, by cause
+};
+
+// Approximate memory of a connection without a request: RESTinio's connection with its input buffer
+// of 4 KiB, the socket's state in the reactor, and the account.
+inline constexpr std::size_t client_connection_bytes = 8'192;
+
+class client_account;
+
+// All member functions may be called from any thread.
+class client_budget {
+ public:
+  explicit client_budget(client_limits limits = {}) : limits_(limits) {}
+  client_budget(const client_budget&) = delete;
+  client_budget& operator=(const client_budget&) = delete;
+
+  void set_limits(client_limits limits);
+  client_budget_stats stats() const;
+
+ private:
+  friend class client_account;
+  // In the order of how long they have been in the phase. Accounts that are closed are in no list.
+  enum phase : std::size_t { idle, receiving, handling, sending, phases };
+  using account_list = std::list<client_account*>;
+
+  // These need the lock.
+  void move_to_phase(client_account& account);
+  void change_bytes(client_account& account, std::size_t bytes);
+  void enforce_bytes();
+  bool admit_connection();
+  client_account* oldest(std::initializer_list<phase> candidates) const;
+  void close(client_account& account, client_close_cause cause);
+  void retire(client_account& account);
+  void count(client_close_cause cause) { ++closed_[static_cast<std::size_t>(cause)]; }
+
+  mutable std::mutex mutex_;
+  client_limits limits_;
+  std::array<account_list, phases> accounts_;
+  std::uint64_t last_change_ = 0;  // orders the accounts of different phases
+  std::size_t bytes_ = 0;
+  std::size_t retired_bytes_ = 0;  // part of `bytes_`, of accounts that are closed
+  std::size_t connections_ = 0;    // that are not closed
+  std::array<std::uint64_t, client_close_causes> closed_{};
+};
+
+// What one connection holds. All member functions may be called from any thread.
+class client_account {
+ public:
+  // Returns null if no connection can be closed in favour of this one; the client is then told so.
+  static std::shared_ptr<client_account> open(std::shared_ptr<client_budget> budget,
+                                              int descriptor);
+  // Its memory has been released.
+  ~client_account();
+  client_account(const client_account&) = delete;
+  client_account& operator=(const client_account&) = delete;
+
+  // An incomplete request holds `bytes`.
+  void receive(std::size_t bytes);
+  // A request of `bytes` is complete. False if the account was closed before: the request must not
+  // run, since the client may have been told so.
+  [[nodiscard]] bool begin_handling(std::size_t bytes);
+  void begin_sending(std::size_t request_bytes, std::size_t response_bytes);
+  void end_sending(std::size_t response_bytes);
+
+  // Whether the budget has closed the connection. What still comes on it must not be used.
+  bool closed() const { return closed_; }
+
+  // Must be called before the descriptor is closed. The budget doesn't use it after that.
+  void detach();
+
+ private:
+  friend class client_budget;
+  client_account(std::shared_ptr<client_budget> budget, int descriptor)
+      : budget_(std::move(budget)), descriptor_(descriptor) {}
+  client_budget::phase phase() const;
+
+  const std::shared_ptr<client_budget> budget_;
+  std::atomic<bool> closed_ = false;
+  // Guarded by the mutex of the budget.
+  int descriptor_;
+  bool listed_ = false;
+  client_budget::phase listed_phase_ = client_budget::idle;
+  client_budget::account_list::iterator place_;
+  std::uint64_t since_ = 0;
+  std::size_t bytes_ = 0;           // all of the following
+  std::size_t received_bytes_ = 0;  // of the incomplete request
+  std::size_t handled_bytes_ = 0;
+  std::size_t unsent_bytes_ = 0;
+  bool receives_ = false;
+  std::size_t handled_requests_ = 0;
+  std::size_t unsent_responses_ = 0;
+};
+
+}  // namespace coltsfoot
--- /dev/null
+++ b/coltsfoot/transport/client_budget_test.cc
@@ -0,0 +1,122 @@
+#include "coltsfoot/transport/client_budget.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+namespace coltsfoot {
+namespace {
+
+constexpr std::size_t body = 100'000;
+
+// A connection of a client, seen from both sides.
+class connection {
+ public:
+  explicit connection(const std::shared_ptr<client_budget>& budget) {
+    EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets_), 0);
+    account_ = client_account::open(budget, sockets_[0]);
+  }
+  ~connection() {
+    if (account_) account_->detach();
+    for (const int handle : sockets_) ::close(handle);
+  }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+
+  client_account& account() { return *account_; }
+  bool refused() const { return account_ == nullptr; }
+  std::string received() const {
+    char buffer[1024];
+    const auto count = recv(sockets_[1], buffer, sizeof(buffer), MSG_DONTWAIT);
+    return count > 0 ? std::string(buffer, static_cast<std::size_t>(count)) : "";
+  }
+
+ private:
+  int sockets_[2] = {-1, -1};
+  std::shared_ptr<client_account> account_;
+};
+
+std::shared_ptr<client_budget> budget_for(std::size_t bodies, std::size_t connections) {
+  return std::make_shared<client_budget>(client_limits{
+      .bytes = bodies * body + connections * client_connection_bytes, .connections = connections});
+}
+
+// Guards against closing a request that is not the oldest, or one that is complete, and against a
+// request that runs although its client was told that it has not.
+TEST(client_budget_test, closes_the_oldest_incomplete_request) {
+  const auto budget = budget_for(3, 10);
+  connection complete{budget};
+  connection oldest{budget};
+  connection newest{budget};
+  complete.account().receive(body);
+  ASSERT_TRUE(complete.account().begin_handling(body));
+  oldest.account().receive(1);
+  newest.account().receive(2 * body);
+  oldest.account().receive(2 * body);  // the last to grow, but the first to begin
+  EXPECT_FALSE(complete.account().closed());
+  EXPECT_TRUE(oldest.account().closed());
+  EXPECT_FALSE(newest.account().closed());
+  EXPECT_FALSE(oldest.account().begin_handling(2 * body));
+  const auto answer = oldest.received();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+  EXPECT_NE(answer.find("\r\n\r\nnot run"), std::string::npos);
+  EXPECT_EQ(newest.received(), "");
+}
+
+// Guards against responses that hold memory without limit, and against bytes of an answer that are
+// followed by those of another.
+TEST(client_budget_test, closes_the_oldest_unread_response_without_a_word) {
+  const auto budget = budget_for(3, 10);
+  connection unread{budget};
+  connection receives{budget};
+  ASSERT_TRUE(unread.account().begin_handling(1));
+  unread.account().begin_sending(1, 2 * body);
+  receives.account().receive(2 * body);
+  EXPECT_TRUE(unread.account().closed());
+  EXPECT_EQ(unread.received(), "");
+  EXPECT_FALSE(receives.account().closed());
+}
+
+// Guards against a connection that can't be made while others are of no use.
+TEST(client_budget_test, new_connections_replace_idle_ones) {
+  const auto budget = budget_for(10, 2);
+  connection works{budget};
+  connection idle{budget};
+  ASSERT_TRUE(works.account().begin_handling(1));
+  connection next{budget};
+  EXPECT_FALSE(next.refused());
+  EXPECT_TRUE(idle.account().closed());
+  ASSERT_TRUE(next.account().begin_handling(1));
+  const connection refused{budget};
+  EXPECT_TRUE(refused.refused());
+  EXPECT_TRUE(refused.received().starts_with("HTTP/1.1 503 "));
+  EXPECT_EQ(budget->stats().connections, 2U);
+  EXPECT_EQ(budget->stats().closed, (std::array<std::uint64_t, client_close_causes>{0, 0, 1, 1}));
+}
+
+// Guards against use that stays counted once it has ended, and against a reload without effect.
+TEST(client_budget_test, counts_what_is_held_and_enforces_new_limits) {
+  const auto budget = budget_for(10, 10);
+  {
+    connection first{budget};
+    connection second{budget};
+    first.account().receive(2 * body);
+    ASSERT_TRUE(second.account().begin_handling(body));
+    second.account().begin_sending(body, 3 * body);
+    second.account().end_sending(3 * body);
+    EXPECT_EQ(budget->stats().bytes, 2 * body + 2 * client_connection_bytes);
+    budget->set_limits({.bytes = body, .connections = 1});
+    EXPECT_TRUE(first.account().closed());
+    EXPECT_FALSE(second.account().closed());
+    EXPECT_EQ(budget->stats().connections, 1U);
+  }
+  EXPECT_EQ(budget->stats().bytes, 0U);
+  EXPECT_EQ(budget->stats().connections, 0U);
+}
+
+}  // namespace
+}  // namespace coltsfoot
--- a/coltsfoot/transport/internal/rest_listener.cc
+++ b/coltsfoot/transport/internal/rest_listener.cc
@@ -7,10 +7,13 @@
 #include <exception>
 #include <mutex>
 #include <restinio/all.hpp>
-#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
+#include "coltsfoot/transport/internal/client_socket.h"
+#include "coltsfoot/transport/internal/counted_parser.h"
+#include "coltsfoot/transport/internal/open_requests.h"
+
 namespace coltsfoot::internal {
 namespace {
 
@@ -54,14 +57,16 @@
 struct listener_traits : restinio::default_traits_t {
   using connection_state_listener_t = connection_bound;
   using ip_blocker_t = connection_bound;
+  using stream_socket_t = client_socket;
+  using http_methods_mapper_t = counted_methods;
 };
 
 using request_handle = restinio::request_handle_t;
 
-rest_request to_request(const request_handle& handle) {
+rest_request to_request(const request_handle& handle, std::string body) {
   rest_request request{.method = handle->header().method().c_str(),
                        .target = handle->header().request_target(),
-                       .body = handle->body()};
+                       .body = std::move(body)};
   handle->header().for_each_field([&request](const auto& field) {
     request.headers.push_back({.name = field.name(), .value = field.value()});
   });
@@ -113,7 +118,17 @@
   for (const auto& header : headers) builder.append_header(header.name, header.value);
 }
 
-void respond_to(const request_handle& handle, rest_response response) {
+// Memory of a response until it is written.
+std::size_t bytes_of(const rest_response& response) {
+  std::size_t bytes = response.body.capacity();
+  for (const auto& header : response.headers) bytes += header.name.size() + header.value.size();
+  return bytes;
+}
+
+void respond_to(const open_request& request, rest_response response) {
+  const auto& handle = request.handle;
+  const auto bytes = bytes_of(response);
+  request.account->begin_sending(request.bytes, bytes);
   if (response.drop) return drop_connection(handle);
   if (response.announced_length > 0) {
     auto builder =
@@ -128,61 +143,13 @@
   add_headers(builder, response.headers);
   if (response.close) builder.connection_close();
   builder.set_body(std::move(response.body));
-  builder.done([kept = std::move(response.until_written)](const auto&) mutable { kept.reset(); });
+  builder.done([kept = std::move(response.until_written), account = request.account,
+                bytes](const auto&) mutable {
+    kept.reset();
+    account->end_sending(bytes);
+  });
 }
 
-// Requests that have no answer yet. A request refers to its connection, which belongs to the
-// server: responders name a request by its id, so that they may outlive the server.
-class open_requests {
- public:
-  using request_id = std::uint64_t;
-
-  request_id add(request_handle handle) {
-    const std::lock_guard lock{mutex_};
-    const auto id = ++last_id_;
-    if (!closed_) handles_.emplace(id, std::move(handle));
-    return id;
-  }
-
-  // Returns the request, which is then not open any more; null if it was not.
-  request_handle take(request_id id) {
-    const std::lock_guard lock{mutex_};
-    auto node = handles_.extract(id);
-    return node.empty() ? nullptr : std::move(node.mapped());
-  }
-
-  // Drops all requests, those to come included.
-  void close() {
-    std::unordered_map<request_id, request_handle> dropped;
-    const std::lock_guard lock{mutex_};
-    closed_ = true;
-    dropped.swap(handles_);
-  }
-
- private:
-  std::mutex mutex_;
-  request_id last_id_ = 0;
-  bool closed_ = false;
-  std::unordered_map<request_id, request_handle> handles_;
-};
-
-// The right to answer one request. The request is dropped with it.
-class open_answer {
- public:
-  open_answer(std::shared_ptr<open_requests> requests, request_handle handle)
-      : requests_(std::move(requests)), id_(requests_->add(std::move(handle))) {}
-  ~open_answer() { requests_->take(id_); }
-  open_answer(const open_answer&) = delete;
-  open_answer& operator=(const open_answer&) = delete;
-
-  // Returns the request, once.
-  request_handle take() { return requests_->take(id_); }
-
- private:
-  std::shared_ptr<open_requests> requests_;
-  open_requests::request_id id_;
-};
-
 bool is_printable(std::string_view text) {
   return std::all_of(text.begin(), text.end(),
                      [](unsigned char c) { return c == '\t' || (c >= 0x20 && c != 0x7f); });
@@ -193,7 +160,9 @@
 class rest_listener::impl {
  public:
   impl(rest_listener_options options, rest_handler handler)
-      : options_(std::move(options)), handler_(std::move(handler)) {}
+      : options_(std::move(options)), handler_(std::move(handler)) {
+    if (!options_.clients) options_.clients = std::make_shared<client_budget>();
+  }
   ~impl() {
     stop();
     open_requests_->close();
@@ -242,19 +211,28 @@
                                       .max_field_value_size(options_.max_header_value_bytes)
                                       .max_field_count(options_.max_header_count)
                                       .max_body_size(options_.max_body_bytes))
-        .acceptor_post_bind_hook(
-            [this](auto& acceptor) { port_ = acceptor.local_endpoint().port(); })
+        .acceptor_post_bind_hook([this](auto& acceptor) {
+          port_ = acceptor.local_endpoint().port();
+          budget_service_of(acceptor.get_executor()).budget = options_.clients;
+        })
         .request_handler([this](const request_handle& handle) { return handle_request(handle); });
     return settings;
   }
 
   restinio::request_handling_status_t handle_request(const request_handle& handle) {
-    received_body_bytes_ += handle->body().size();
-    auto request = to_request(handle);
-    auto open = std::make_shared<open_answer>(open_requests_, handle);
+    // Requests become complete in a handler of their connection.
+    auto* connection = current_connection();
+    if (connection == nullptr) return restinio::request_rejected();
+    const auto bytes = connection->request.complete_bytes;
+    if (!connection->account->begin_handling(bytes)) return restinio::request_rejected();
+    auto request = to_request(handle, std::move(connection->request.complete_body));
+    received_body_bytes_ += request.body.size();
+    auto open = std::make_shared<open_answer>(
+        open_requests_,
+        open_request{.handle = handle, .account = connection->account, .bytes = bytes});
     handler_(std::move(request), [open, sent = sent_body_bytes_](rest_response response) {
       const auto answered = open->take();
-      if (!answered) return;
+      if (!answered.handle) return;
       *sent += response.body.size();
       respond_to(answered, std::move(response));
     });
--- a/coltsfoot/transport/internal/rest_listener.h
+++ b/coltsfoot/transport/internal/rest_listener.h
@@ -18,6 +18,7 @@
 
 #include "coltsfoot/base/time.h"
 #include "coltsfoot/model/request.h"
+#include "coltsfoot/transport/client_budget.h"
 #include "coltsfoot/transport/transport_error.h"
 
 namespace coltsfoot::internal {
@@ -61,7 +62,8 @@
   std::size_t max_target_bytes = std::size_t{64} * 1024;
   std::size_t max_connections = 4096;
   duration idle_timeout{60'000};
-  duration answer_timeout{600'000};  // the connection is closed if there is no answer by then
+  duration answer_timeout{600'000};        // the connection is closed if there is no answer by then
+  std::shared_ptr<client_budget> clients;  // shared with other listeners; null: no limits
 };
 
 // Counts since the start.
--- a/coltsfoot/transport/internal/rest_listener_test.cc
+++ b/coltsfoot/transport/internal/rest_listener_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <asio.hpp>
+#include <atomic>
 #include <future>
 
 namespace coltsfoot::internal {
@@ -50,5 +51,26 @@
   EXPECT_EQ(listener.stats().sent_body_bytes, 5U);
 }
 
+// Guards against an incomplete request that takes more than the budget, and against one that runs
+// although its client was told that it has not.
+TEST(rest_listener_test, an_incomplete_request_over_the_budget_is_not_run) {
+  asio::io_context io;
+  std::atomic<int> handled{0};
+  const auto budget = std::make_shared<client_budget>(client_limits{.bytes = 65'536});
+  rest_listener listener{{.clients = budget},
+                         [&](const rest_request&, const rest_responder&) { ++handled; }};
+  ASSERT_TRUE(listener.start());
+  auto socket = connect_to(io, listener.port());
+  asio::write(socket, asio::buffer(std::string{
+                          "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\nbody"}));
+  std::string text;
+  asio::error_code end;
+  asio::read(socket, asio::dynamic_buffer(text), end);
+  EXPECT_TRUE(text.starts_with("HTTP/1.1 503 ")) << text;
+  EXPECT_TRUE(text.find("\r\n\r\nnot run") != std::string::npos) << text;
+  EXPECT_EQ(handled, 0);
+  EXPECT_EQ(budget->stats().closed[0], 1U);
+}
+
 }  // namespace
 }  // namespace coltsfoot::internal
--- a/review/standin-2/review_fleet.cc
+++ b/review/standin-2/review_fleet.cc
@@ -76,6 +76,8 @@
       {"{{platform.address}}", const_cast<store_server&>(store_).listener(node).address()},
       {"{{limits.cpuShare}}", "0.25"},
       {"{{limits.linkBandwidthMbps}}", "1000.0"},
+      {"{{limits.memoryMb}}", "512"},
+      {"{{limits.fileDescriptors}}", "4096"},
       {"{{platform.parts}}", "8"},
       {"{{bounds.holdMaxMs}}", "10000"},
       {"{{bounds.gracePeriodS}}", "6"}};
--- a/review/standin/deployment.cc
+++ b/review/standin/deployment.cc
@@ -125,6 +125,8 @@
       {"{{platform.address}}", store_address_},
       {"{{limits.cpuShare}}", "0.25"},
       {"{{limits.linkBandwidthMbps}}", "1000.0"},
+      {"{{limits.memoryMb}}", "512"},
+      {"{{limits.fileDescriptors}}", "4096"},
       {"{{platform.parts}}", "8"},
       {"{{bounds.holdMaxMs}}", "10000"},
       {"{{bounds.gracePeriodS}}", "6"}};
--- a/tests/process/client_limits_process_test.cc
+++ b/tests/process/client_limits_process_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <optional>
@@ -42,9 +43,14 @@
     const auto folder = fmt::format("{}/process-tests/client_limits/{}", program_dir(), test_name);
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
-    std::ofstream{folder + "/settings.yaml"} << settings();
-    process_.emplace(program_path(name),
-                     std::vector<std::string>{"--config", folder + "/settings.yaml"}, folder, name);
+    settings_file_ = folder + "/settings.yaml";
+    write_settings(client_connections);
+    process_.emplace(program_path(name), std::vector<std::string>{"--config", settings_file_},
+                     folder, name);
+  }
+
+  void write_settings(int connections) const {
+    std::ofstream{settings_file_} << settings(connections);
   }
 
   std::uint16_t port() const { return callers_.number(); }
@@ -69,12 +75,12 @@
   bool is_fleet() const { return name_ == "coltsfoot_fleetd"; }
 
   // Nothing listens at the addresses of the store, the log and the host list.
-  std::string settings() const {
+  std::string settings(int connections) const {
     const auto at = [](const reserved_port& port) {
       return fmt::format("\"127.0.0.1:{}\"\n", port.number());
     };
     const auto limits = fmt::format("client_memory_mb: {}\nclient_connections: {}\n",
-                                    client_memory_mb, client_connections);
+                                    client_memory_mb, connections);
     const auto common = "node: n1\nzone: z1\ncaller_address: " + at(callers_) +
                         "peer_address: " + at(peers_) + limits;
     if (is_fleet()) {
@@ -89,6 +95,7 @@
   }
 
   std::string name_;
+  std::string settings_file_;
   reserved_port callers_;
   reserved_port peers_;
   reserved_port readiness_;
@@ -229,6 +236,31 @@
   expect_in_service("gone");
 }
 
+// Guards against a reload that takes an invalid limit, or has no effect on the limits.
+TEST(client_limits_reload_process_test, only_valid_limits_come_into_force) {
+  limited_program program{"coltsfoot_fleetd"};
+  const auto limit_is = [&](int connections) {
+    const auto page =
+        exchange_bytes(program.metrics_port(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    return page.find(fmt::format("client_connections_limit {}\n", connections)) !=
+           std::string::npos;
+  };
+  EXPECT_TRUE(wait_until([&] { return limit_is(client_connections); }))
+      << program.process().output();
+  // More than half of the memory for clients would be taken by the connections alone.
+  program.write_settings(1'000);
+  program.process().signal(SIGHUP);
+  const auto rejected = [&] {
+    return program.process().output().find(
+               "event=settings_rejected detail=\"client_connections: ") != std::string::npos;
+  };
+  EXPECT_TRUE(wait_until(rejected)) << program.process().output();
+  EXPECT_TRUE(limit_is(client_connections));
+  program.write_settings(32);
+  program.process().signal(SIGHUP);
+  EXPECT_TRUE(wait_until([&] { return limit_is(32); })) << program.process().output();
+}
+
 INSTANTIATE_TEST_SUITE_P(programs, client_limits_process_test,
                          ::testing::Values("coltsfoot_fleetd", "coltsfootd"),
                          [](const auto& info) { return info.param; });
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -63,6 +63,8 @@
       {"{{platform.address}}", store_address},
       {"{{limits.cpuShare}}", "0.25"},
       {"{{limits.linkBandwidthMbps}}", "1000.0"},
+      {"{{limits.memoryMb}}", "512"},
+      {"{{limits.fileDescriptors}}", "4096"},
       {"{{platform.parts}}", "8"},
       {"{{bounds.holdMaxMs}}", "10000"},
       {"{{bounds.gracePeriodS}}", "6"}};
