coltsfootd: the same budget for what clients hold

Callers and operators of coltsfootd were exposed to the same clients as those of coltsfoot_fleetd: 120 incomplete bodies of 450 kB took 59 MiB, and nothing bounded the connections of both listeners together. Change: the HTTP server takes the budget of the process for both of its listeners. The limits come from its settings, are checked at the start and exported. coltsfootd has no reload of settings, so none of the limits.

--- a/coltsfoot/daemon/daemon.cc
+++ b/coltsfoot/daemon/daemon.cc
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "coltsfoot/base/hash.h"
+#include "coltsfoot/daemon/client_limits.h"
 #include "coltsfoot/daemon/command_executor.h"
 #include "coltsfoot/daemon/mailbox.h"
 #include "coltsfoot/daemon/shared_text.h"
@@ -74,7 +75,8 @@
   return {.ip = split.ip, .port = split.port};
 }
 
-std::string metrics_page(const node_core& core, const transport_stats& transport) {
+std::string metrics_page(const node_core& core, const transport_stats& transport,
+                         const client_budget_stats& clients) {
   exposition page;
   for (const auto& [name, value] : core.counters()) page.add_counter(name, value);
   for (const auto kind : {urgency::urgent, urgency::deferrable}) {
@@ -82,6 +84,7 @@
                        core.request_latency(kind));
   }
   add_transport_metrics(page, transport);
+  add_client_metrics(page, clients);
   return page.text();
 }
 
@@ -99,7 +102,9 @@
 // Runs the control thread: handles events one at a time, with a tick every `tick_interval`.
 template <typename Executor, typename Transport>
 void run_control_thread(node_core& core, mailbox& events, Executor& executor,
-                        const Transport& transport, shared_text& metrics) {
+                        const Transport& transport, const client_budget& clients,
+                        shared_text& metrics) {
+  client_close_log closes;
   auto next_tick = std::chrono::steady_clock::now();
   auto next_metrics = next_tick;
   while (!executor.stopped()) {
@@ -114,7 +119,11 @@
     for (auto& c : core.handle(e, monotonic_now())) executor.execute(std::move(c));
     if (std::chrono::steady_clock::now() >= next_metrics) {
       next_metrics = std::chrono::steady_clock::now() + metrics_interval;
-      metrics.set(metrics_page(core, transport()));
+      const auto client_use = clients.stats();
+      metrics.set(metrics_page(core, transport(), client_use));
+      if (const auto line = closes.sample(client_use, monotonic_now())) {
+        log_line(severity::warning, *line);
+      }
     }
   }
 }
@@ -127,6 +136,16 @@
   return result.has_value();
 }
 
+tl::expected<client_limits, std::string> limits_of(const node_settings& settings) {
+  return resolve_client_limits(
+      {.memory_mb = settings.memory_mb,
+       .file_descriptors = settings.file_descriptors,
+       .client_memory_mb = settings.client_memory_mb,
+       .client_connections = settings.client_connections},
+      read_machine(),
+      largest_request_bytes(http_server::listener_body_bytes(settings.max_body_bytes)));
+}
+
 template <typename Server>
 void wait_until_idle(const Server& server) {
   const auto limit = monotonic_now() + drain_timeout;
@@ -194,6 +213,13 @@
              "event=start_failed part=charts detail=" + log_value(charts.error().message));
     return 1;
   }
+  const auto limits = limits_of(settings);
+  if (!limits) {
+    log_line(severity::error,
+             "event=start_failed part=client_limits detail=" + log_value(limits.error()));
+    return 1;
+  }
+  const auto clients = std::make_shared<client_budget>(*limits);
   const sigset_t signals = block_stop_signals();
   const log_sink sink = [](severity level, const std::string& text) { log_line(level, text); };
 
@@ -222,7 +248,8 @@
       {.callers = to_listen_address(settings.caller_address),
        .operators = to_listen_address(settings.operator_address),
        .max_body_bytes = settings.max_body_bytes,
-       .default_deadline = settings.request_timeout},
+       .default_deadline = settings.request_timeout,
+       .clients = clients},
       {.on_caller =
            [&events](call_id call, service_request request) {
              events.push(caller_request_received{.call = call, .request = std::move(request)});
@@ -251,7 +278,7 @@
       return transport_stats{
           .http = http.stats(), .peer_server = peer_requests.stats(), .peer_client = peers.stats()};
     };
-    run_control_thread(core, events, executor, transport, metrics);
+    run_control_thread(core, events, executor, transport, *clients, metrics);
     control_ended = true;
     // Wakes the main thread if the core stopped without a signal.
     kill(getpid(), SIGTERM);
--- a/coltsfoot/transport/client_budget.cc
+++ b/coltsfoot/transport/client_budget.cc
@@ -107,7 +107,7 @@
                                                      int descriptor) {
   auto& b = *budget;
   // The constructor is private.
-  const std::shared_ptr<client_account> account{new client_account{std::move(budget), descriptor}};
+  std::shared_ptr<client_account> account{new client_account{std::move(budget), descriptor}};
   const std::lock_guard lock{b.mutex_};
   if (!b.admit_connection()) {
     send_not_run(descriptor);
--- a/coltsfoot/transport/http_server.cc
+++ b/coltsfoot/transport/http_server.cc
@@ -322,13 +322,14 @@
             .ip = address.ip,
             .port = address.port,
             .threads = 2,
-            .max_body_bytes = 2 * options_.max_body_bytes + 65536,
+            .max_body_bytes = listener_body_bytes(options_.max_body_bytes),
             .max_header_value_bytes = 2 * options_.max_header_value_bytes,
             .max_header_count = 2 * options_.max_header_count,
             .max_target_bytes = 2 * options_.max_target_bytes,
             .max_connections = options_.max_connections,
             .idle_timeout = options_.idle_timeout,
-            .answer_timeout = options_.longest_deadline + duration{60'000}},
+            .answer_timeout = options_.longest_deadline + duration{60'000},
+            .clients = options_.clients},
         [this, api](rest_request request, const rest_responder& respond) {
           serve(api, std::move(request), respond);
         });
--- a/coltsfoot/transport/http_server.h
+++ b/coltsfoot/transport/http_server.h
@@ -20,6 +20,7 @@
 #include "coltsfoot/base/time.h"
 #include "coltsfoot/model/operator_messages.h"
 #include "coltsfoot/model/request.h"
+#include "coltsfoot/transport/client_budget.h"
 #include "coltsfoot/transport/transport_error.h"
 
 namespace coltsfoot {
@@ -44,6 +45,7 @@
   duration longest_deadline{300'000};
   duration idle_timeout{60'000};
   duration retry_after{1'000};  // told to callers that are refused while the server drains
+  std::shared_ptr<client_budget> clients;  // null: no limits
 };
 
 // Handlers run on a thread of the server and must not block. `call` is unique within the server.
@@ -73,6 +75,11 @@
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
+  // A body up to this size is read, and answered with 413 if it is above `max_body_bytes`.
+  static constexpr std::size_t listener_body_bytes(std::size_t max_body_bytes) {
+    return 2 * max_body_bytes + 65'536;
+  }
+
   tl::expected<void, transport_error> start();
 
   // Closes all connections and joins the threads. The destructor does the same.
