Prefer workers that are not cold

Callers would see tasks on the workers of a zone that is in use again run slowly for a while, though other workers suit as well: the registry entry's coldRemainingMs was not read.

The remaining time becomes a time of the node that reads the entry. Until then, of workers that are equal in data, siblings and image, those that are not cold come first.

--- a/coltsfoot/jobs/job.h
+++ b/coltsfoot/jobs/job.h
@@ -139,6 +139,8 @@
   resources capacity;
   std::vector<std::string> labels;  // the kind, then the rack
   std::uint32_t transfers = 0;      // from one shard to another, so far; not told by the registry
+  duration cold_remaining{0};       // the worker is slow for this long after the entry was written
+  time_point cold_until{};          // the same, as a time of the node that has read the entry
 
   std::string_view rack() const { return labels.empty() ? std::string_view{} : labels.back(); }
   bool has_label(std::string_view label) const;
--- a/coltsfoot/jobs/job_node.cc
+++ b/coltsfoot/jobs/job_node.cc
@@ -223,6 +223,7 @@
   auto& entry = registry_[id];
   if (entry.id.value.empty()) registry_changed_ = context_.now;
   entry = std::move(*decoded);
+  entry.cold_until = context_.now + entry.cold_remaining;
   hand_listing(entry);
 }
 
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/jobs/placement.cc
@@ -171,14 +171,15 @@
   const bool near_data = !step.data_label.empty() && link.listing->has_label(step.data_label);
   const bool near_siblings =
       !request_.preferred_rack.empty() && link.listing->rack() == request_.preferred_rack;
+  const bool warm = link.listing->cold_until <= now_;
   if (step.serves()) {
-    return suitability{near_data, near_siblings, serves_image(link, step.image),
+    return suitability{near_data, near_siblings, serves_image(link, step.image), warm,
                        -fill_share(link, link.free().millicores)};
   }
   double value = fill_share(link, link.idle_millicores());
   if (step.fill) value -= idle_per_headroom * total_loss(link, step, model_);
   if (request_.starved) value = bearable_percent(step, link, model_, now_);
-  return suitability{near_data, near_siblings, false, value};
+  return suitability{near_data, near_siblings, false, warm, value};
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/jobs/placement.h
@@ -63,8 +63,9 @@
 
  private:
   // Whether the data and the siblings of the task are near, whether tasks of its image serve there,
-  // and how much room it leaves. Compared as a whole; the greatest is the best.
-  using suitability = std::tuple<bool, bool, bool, double>;
+  // whether the worker is at full speed, not cold, and how much room it leaves. Compared as a
+  // whole; the greatest is the best.
+  using suitability = std::tuple<bool, bool, bool, bool, double>;
   struct candidate {
     suitability value;
     worker_link* link = nullptr;
--- a/coltsfoot/jobs/placement_test.cc
+++ b/coltsfoot/jobs/placement_test.cc
@@ -53,6 +53,20 @@
   EXPECT_EQ(choose(short_step(6'000), links), &links.at(worker_id{"w2"}));
 }
 
+// Guards against tasks that go to a slow worker while others suit as well, and against tasks that
+// wait for it to become fast.
+TEST(placement_test, a_cold_worker_is_used_when_no_other_suits_as_well) {
+  worker_links links;
+  auto& cold = add_worker(links, "w1");
+  cold.listing->cold_until = now + duration{1'000};
+  auto& warm = add_worker(links, "w2");
+  warm.add({job_id{"j"}, 0}, {.demand = {.millicores = 50'000}});
+  EXPECT_EQ(choose(short_step(6'000), links), &warm);
+  EXPECT_EQ(choose(short_step(20'000), links), &cold);
+  cold.listing->cold_until = now;
+  EXPECT_EQ(choose(short_step(6'000), links), &cold);
+}
+
 TEST(placement_test, nothing_goes_to_a_worker_that_drains_or_is_silent_or_avoided) {
   worker_links links;
   auto& link = add_worker(links, "w1");
