Let work leave an evacuated zone

Operators who evacuated a zone saw long-running tasks stay there: nothing moved them, so the zone never became empty.

A pure function (coltsfoot/evacuation/evacuation_moves) decides which runs are stopped so that their tasks go on elsewhere: long-running tasks, and others whose remaining time exceeds the cost of a restart (2 s, plus the work done if there is no checkpoint), as far as a worker outside the zone has room now beside the moves in progress. At most four moves of a shard are in progress, and the tasks of a step that are not at work stay within max_unavailable (one if that is 0). No run is moved while the store has been silent for 1.5 s, since its next start could not be recorded.

--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -46,6 +46,7 @@
   page.add_counter("task_paces_total", stats.paces);
   page.add_counter("worker_transfers_total", stats.transfers);
   page.add_counter("task_handovers_total", stats.handovers);
+  page.add_counter("evacuation_moves_total", stats.evacuation_moves);
   page.add_counter("evacuation_starts_withdrawn_total", stats.starts_withdrawn);
   page.add_counter("runs_lost_total", stats.runs_lost);
   page.add_counter("starts_rejected_total", stats.rejected);
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -30,6 +30,7 @@
   transfers += other.transfers;
   handovers += other.handovers;
   starts_withdrawn += other.starts_withdrawn;
+  evacuation_moves += other.evacuation_moves;
   completed += other.completed;
   failed += other.failed;
   until_recorded.merge(other.until_recorded);
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -22,6 +22,7 @@
 #include <tuple>
 #include <vector>
 
+#include "coltsfoot/evacuation/evacuation_moves.h"
 #include "coltsfoot/jobs/answer_time.h"
 #include "coltsfoot/jobs/grant_authority.h"
 #include "coltsfoot/jobs/job_record.h"
@@ -80,6 +81,7 @@
   // room which is there for 3 s.
   duration handover_patience{1'000};
   duration repeated_handover_patience{2'000};
+  evacuation_options evacuation;
 };
 
 struct job_owner_stats {
@@ -95,6 +97,7 @@
   std::uint64_t handovers = 0;   // tasks given to other shards
   // Starts in evacuated zones that were not sent, or stopped as they got no answer.
   std::uint64_t starts_withdrawn = 0;
+  std::uint64_t evacuation_moves = 0;  // runs stopped so that their tasks leave an evacuated zone
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
   latency_histogram until_recorded;  // of a start, from its placing
@@ -288,6 +291,7 @@
   void drain_runs(worker_link& link, time_point now);
   bool is_evacuated(const worker_link& link) const;
   void withdraw_start(worker_link& link, const task_key& key, time_point now);
+  void move_evacuated_runs(time_point now);
   void stop_gang_of(const task_key& key, time_point now);
   void stop_unanswered_start(worker_link& link, const task_key& key, placed_run& run,
                              time_point now);
@@ -341,6 +345,8 @@
   time_point next_witnesses_{};
   worker_links links_;
   std::set<std::string> evacuated_zones_;
+  moves_in_progress moves_;                           // out of evacuated zones
+  time_point next_moves_{};                           // when moves are decided next
   std::map<worker_id, remembered_lives> remembered_;  // of workers that have no link any more
   interference_model model_{{}};
   estimate_correction correction_;
--- a/coltsfoot/jobs/job_owner_evacuation.cc
+++ b/coltsfoot/jobs/job_owner_evacuation.cc
@@ -1,4 +1,5 @@
-// The part of the owner that keeps tasks from being started in evacuated zones.
+// The part of the owner that keeps tasks from being started in evacuated zones, and lets runs leave
+// them.
 #include <fmt/format.h>
 
 #include <utility>
@@ -7,6 +8,13 @@
 #include "coltsfoot/jobs/job_owner.h"
 
 namespace coltsfoot::jobs {
+namespace {
+
+// Without a sign of the store for this long, no run is moved: the start elsewhere could not be
+// recorded. Signs come with each heartbeat, every 400 ms.
+constexpr duration longest_store_silence{1'500};
+
+}  // namespace
 
 bool job_owner::is_evacuated(const worker_link& link) const {
   return link.listing && evacuated_zones_.contains(link.listing->zone);
@@ -81,4 +89,35 @@
   run.next_try = now;
 }
 
+void job_owner::move_evacuated_runs(time_point now) {
+  if (evacuated_zones_.empty()) return moves_.clear();
+  if (now < next_moves_) return;
+  next_moves_ = now + options_.evacuation.interval;
+  if (grants_.unconfirmed_for(now) > longest_store_silence) return;
+  drop_settled_moves(moves_, links_, table_, options_.evacuation, now);
+  const evacuation_inputs inputs{.links = links_,
+                                 .table = table_,
+                                 .model = model_,
+                                 .moves = moves_,
+                                 .request_for = [this](const job& j, const task_ref& ref) {
+                                   return request_for(j, ref.occurrence, ref.step);
+                                 }};
+  for (const auto& move : evacuation_moves(inputs, options_.evacuation, now)) {
+    auto& link = links_.at(move.from);
+    const auto& j = *table_.find(move.key.job);
+    const auto ref = j.ref_of(move.key.index);
+    log(severity::info,
+        fmt::format("event=run_moved {} worker={} zone={} reason=evacuation percent={} "
+                    "remaining_ms={} report_age_ms={} room_on={} unavailable={} "
+                    "max_unavailable={} moves_in_progress={}",
+                    log_text({.task = ref, .run = move.run}), log_value(move.from.value),
+                    log_value(link.listing->zone), move.percent, move.remaining.count(),
+                    (now - *link.newest_report).count(), log_value(move.to.value), move.unavailable,
+                    j.step_of(ref).max_unavailable, moves_.size()));
+    moves_[move.key] = {.run = move.run, .to = move.to, .began = now};
+    ++stats_.evacuation_moves;
+    stop_run(link, move.key, now);
+  }
+}
+
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -27,6 +27,7 @@
   window_.adjust(now);
   watch_grants(now);
   tend_workers(now);
+  move_evacuated_runs(now);
   send_ready_starts(now);
   for (const auto& id : std::vector<job_id>{cancelling_.begin(), cancelling_.end()}) {
     if (auto* j = table_.find(id)) {
--- a/tests/jobs/evacuation_test.cc
+++ b/tests/jobs/evacuation_test.cc
@@ -19,6 +19,14 @@
                      .estimate = duration{300}}}};
 }
 
+jobs::job_spec long_running_job(std::uint32_t width, std::uint32_t max_unavailable) {
+  return {.payload = "p",
+          .steps = {{.count = width,
+                     .demand = {.millicores = 1'000, .memory_mb = 500},
+                     .long_running = true,
+                     .max_unavailable = max_unavailable}}};
+}
+
 void wait_until_settled(virtual_fleet& fleet) {
   ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{8'000}));
   fleet.run_for(duration{500});
@@ -136,6 +144,26 @@
   EXPECT_GT(last_start(fleet, 2), begun);
 }
 
+// Guards against a shard that starts tasks in the zone, or gets them from others for workers there.
+TEST(evacuation_test, no_shard_starts_tasks_in_the_zone) {
+  virtual_fleet fleet{{.workers = 16, .workers_per_shard = 4, .zones = 2}};
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{15'000}));
+  fleet.run_for(duration{1'000});
+  submit_jobs(fleet, "a", 10);
+  fleet.write_config("evacuate/z0", "{}");
+  const auto written = fleet.now();
+  submit_jobs(fleet, "b", 30);
+  for (int worker = 0; worker < 16; ++worker) {
+    if (worker / 2 % 2 != 0) continue;
+    EXPECT_LT(last_start(fleet, worker), written + effective) << worker;
+  }
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_TRUE(
+        fleet.reaches(0, "b" + std::to_string(i), jobs::job_state::completed, duration{8'000}));
+  }
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
 // Guards against a worker that is open again because it was away.
 TEST(evacuation_test, a_worker_that_restarts_or_rejoins_is_still_closed) {
   virtual_fleet fleet{two_zones};
@@ -154,5 +182,108 @@
   EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
 }
 
+// Runs of long-running tasks that have started up.
+std::size_t at_work(virtual_fleet& fleet, int workers) {
+  constexpr duration start_up{200};
+  std::size_t count = 0;
+  for (int i = 0; i < workers; ++i) {
+    for (const auto& [task, run] : fleet.worker(i).runs()) {
+      if (run.work.lasts && fleet.now() - run.began >= start_up) ++count;
+    }
+  }
+  return count;
+}
+
+// Returns the least number of runs that were at work at a time while zone z0 was emptied.
+std::size_t least_at_work_until_empty(virtual_fleet& fleet, std::size_t width) {
+  std::size_t least = width;
+  const bool emptied = fleet.run_until(
+      [&] {
+        least = std::min(least, at_work(fleet, 4));
+        return !fleet.runs_tasks(0) && !fleet.runs_tasks(1) && at_work(fleet, 4) == width;
+      },
+      duration{30'000});
+  EXPECT_TRUE(emptied);
+  return least;
+}
+
+// Guards against moves that take down more tasks of a step than it allows, also if the owner that
+// began them dies.
+TEST(evacuation_test, long_running_tasks_leave_the_zone_within_the_bound_of_their_step) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    for (const std::uint32_t max_unavailable : {0U, 1U, 3U}) {
+      virtual_fleet fleet{{.workers = 4, .seed = seed, .lost_answers = 0.05, .zones = 2}};
+      wait_until_settled(fleet);
+      fleet.submit(0, "j", long_running_job(12, max_unavailable));
+      ASSERT_TRUE(fleet.run_until([&] { return at_work(fleet, 4) == 12; }, duration{8'000}));
+      fleet.run_for(duration{1'000});
+      ASSERT_TRUE(fleet.runs_tasks(0) || fleet.runs_tasks(1));
+      fleet.write_config("evacuate/z0", "{}");
+      if (seed % 2 == 0) {
+        fleet.run_for(duration{seed * 100});
+        fleet.kill_node(fleet.owner());
+      }
+      const std::size_t bound = std::max(max_unavailable, 1U);
+      EXPECT_GE(least_at_work_until_empty(fleet, 12) + bound, 12U)
+          << "seed " << seed << " max_unavailable " << max_unavailable;
+      EXPECT_EQ(fleet.lapsed(), 0U) << "seed " << seed;
+      EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+    }
+  }
+}
+
+// Guards against tasks that are stopped although they can't run elsewhere.
+TEST(evacuation_test, tasks_stay_while_there_is_no_room_elsewhere) {
+  virtual_fleet fleet{two_zones};
+  wait_until_settled(fleet);
+  fleet.submit(0, "j", long_running_job(40, 10));  // more than fit
+  fleet.run_for(duration{10'000});
+  const auto full = at_work(fleet, 4);
+  fleet.write_config("evacuate/z0", "{}");
+  auto least = full;
+  fleet.run_until(
+      [&] {
+        least = std::min(least, at_work(fleet, 4));
+        return false;
+      },
+      duration{10'000});
+  EXPECT_GE(least + 4, full);  // four moves at once
+  EXPECT_EQ(at_work(fleet, 4), full);
+  EXPECT_EQ(fleet.worker(2).runs().size() + fleet.worker(3).runs().size(), 16U);
+  EXPECT_TRUE(fleet.runs_tasks(0) && fleet.runs_tasks(1));
+}
+
+// Guards against stopping tasks while their next start can't be recorded.
+TEST(evacuation_test, no_more_tasks_are_moved_while_the_store_is_down) {
+  virtual_fleet fleet{two_zones};
+  wait_until_settled(fleet);
+  fleet.submit(0, "j", long_running_job(12, 12));
+  ASSERT_TRUE(fleet.run_until([&] { return at_work(fleet, 4) == 12; }, duration{8'000}));
+  fleet.run_for(duration{1'000});
+  fleet.write_config("evacuate/z0", "{}");
+  ASSERT_TRUE(fleet.run_until([&] { return at_work(fleet, 4) < 12; }, duration{2'000}));
+  fleet.set_store_down(true);
+  fleet.run_for(duration{25'000});
+  EXPECT_GE(at_work(fleet, 4), 8U);  // four moves at once
+  fleet.set_store_down(false);
+  least_at_work_until_empty(fleet, 12);
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
+// Guards against tasks that wait for a zone that is cut off while it is evacuated.
+TEST(evacuation_test, tasks_of_a_zone_that_is_cut_off_too_continue_elsewhere) {
+  virtual_fleet fleet{two_zones};
+  wait_until_settled(fleet);
+  fleet.submit(0, "j", long_running_job(8, 1));
+  ASSERT_TRUE(fleet.run_until([&] { return at_work(fleet, 4) == 8; }, duration{8'000}));
+  fleet.write_config("evacuate/z0", "{}");
+  fleet.run_for(duration{150});
+  fleet.set_worker_reachable(0, false);
+  fleet.set_worker_reachable(1, false);
+  fleet.run_for(duration{16'000});
+  EXPECT_EQ(fleet.worker(2).runs().size() + fleet.worker(3).runs().size(), 8U);
+  EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin();
+}
+
 }  // namespace
 }  // namespace coltsfoot::testing
