--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -32,6 +32,7 @@
   starts_withdrawn += other.starts_withdrawn;
   slow_moves += other.slow_moves;
   slow_move_gain += other.slow_move_gain;
+  evacuation_moves += other.evacuation_moves;
   completed += other.completed;
   failed += other.failed;
   until_recorded.merge(other.until_recorded);
--- a/coltsfoot/jobs/job_owner_relocation.cc
+++ b/coltsfoot/jobs/job_owner_relocation.cc
@@ -31,13 +31,15 @@
   const auto& options = options_.relocation;
   if (!options.enabled() || now < next_relocation_) return;
   next_relocation_ = now + options.interval;
-  moves_.drop_settled(table_, links_, now);
-  if (!granting_ || fenced_ || moves_.size() >= options.most_under_way) return;
-  const auto room = options.most_under_way - moves_.size();
+  slow_moves_.drop_settled(table_, links_, now);
+  // Moves out of evacuated zones count too, so that the bound on moves of a shard is one for both.
+  const auto under_way = slow_moves_.size() + evacuation_moves_.size();
+  if (!granting_ || fenced_ || under_way >= options.most_under_way) return;
+  const auto room = options.most_under_way - under_way;
   for (const auto& move : slow_runs_.choose({links_, table_, model_, speeds_}, room, now)) {
     auto& link = links_.at(move.from);
     const auto& run = link.runs.at(move.key);
-    moves_.begin(move, run, links_, now + options.give_up);
+    slow_moves_.begin(move, run, links_, now + options.give_up);
     ++stats_.slow_moves;
     stats_.slow_move_gain += move.here - move.there;
     const auto ref = table_.find(move.key.job)->ref_of(move.key.index);
@@ -54,14 +56,14 @@
 // Places stopped tasks on the workers that hold room for them, or else wherever they fit, before
 // others can take the room.
 void job_owner::place_moved(time_point now) {
-  moves_.drop_settled(table_, links_, now);
-  for (const auto& move : moves_.waiting(table_)) {
+  slow_moves_.drop_settled(table_, links_, now);
+  for (const auto& move : slow_moves_.waiting(table_)) {
     if (starts_left_ == 0) return;
     auto& j = *table_.find(move.key.job);
     const auto ref = j.ref_of(move.key.index);
     auto request = request_for(j, ref.occurrence, ref.step);
     request.restart = true;
-    moves_.release_room(move.key, links_);
+    slow_moves_.release_room(move.key, links_);
     const auto target = links_.find(move.to);
     auto* link = target == links_.end() ? nullptr : &target->second;
     if (link == nullptr || obstacle_to(request, *link, model_, now)) {
@@ -74,7 +76,7 @@
     link->runs.at(move.key).moves = move.former_moves + 1;
     link->backoff.on_start(now);
     --starts_left_;
-    moves_.drop(move.key, links_);
+    slow_moves_.drop(move.key, links_);
   }
 }
 
