Bound what a complete body costs before memory is spent on it

Seen by operators: a caller decides with a few bytes how much memory a node takes. decode_job and the administration API parsed the whole body into a tree before they looked at it. Bodies of 512 KiB took up to 90.9 MB (empty steps), 46.2 MB (100,000 empty steps, 300,011 bytes), 39.8 MB ([[[[ without an end), 22.0 MB (dependencies), 21.7 MB (an unknown list of empty objects), 8.4 MB ([0,0,0) and 73.4 MB (empty tasks in the administration API). 20,000 empty steps, 60,011 bytes, took 11.2 MB and then 54.7 MB for a record that was too large for the store.

Cause: the library takes 16 to 100 bytes for each value, as much again to destroy a large list, and a step_spec has some 200 bytes for the two or three bytes of an empty step.

Change: read_known_fields reads a body as events and keeps only the fields that a shape names. It ends at an array or object in a wrong place, a repeated known name, too many steps or tasks, or too many levels. decode_job and the administration API share it. A refusal is the existing 400 with a reason. Unknown fields are dropped, however deep or wide they are.

Refused now and not before: a known name twice in one object, since readers differ in which one counts; more than 131,072 levels, which needs more than 262,144 bytes; dependencies with a fraction that is out of range of 32 bits, whose conversion is undefined; in the administration API more than 20,000 tasks or ids. Jobs of more than 1,134 steps were always refused, since no record of the store holds them; now before the record is built.

Not run on arm64.

--- a/coltsfoot/transport/http_server.cc
+++ b/coltsfoot/transport/http_server.cc
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "coltsfoot/base/log_text.h"
-#include "coltsfoot/transport/internal/nesting_bound.h"
+#include "coltsfoot/transport/internal/operator_body.h"
 #include "coltsfoot/transport/internal/rest_listener.h"
 
 namespace coltsfoot {
@@ -371,18 +371,9 @@
 
   void serve_operator(const rest_request& request, const rest_responder& respond) {
     if (request.method != "POST") return reject(respond, bad_request(405, "use POST"));
-    const auto name = request.target.substr(admin_prefix.size());
-    if (internal::nests_too_deep(request.body, nlohmann::json::input_format_t::json)) {
-      return reject(respond, bad_request(400, "the body nests too deep"));
-    }
-    const auto fields = nlohmann::json::parse(request.body, nullptr, false);
-    if (!fields.is_object()) return reject(respond, bad_request(400, "the body is no JSON object"));
-    std::optional<operator_request> parsed;
-    try {
-      parsed = nlohmann::json::array({name, fields}).get<operator_request>();
-    } catch (const nlohmann::json::exception& error) {
-      return reject(respond, bad_request(400, error.what()));
-    }
+    const auto name = std::string_view{request.target}.substr(admin_prefix.size());
+    auto parsed = internal::decode_operator_body(name, request.body);
+    if (!parsed) return reject(respond, bad_request(400, parsed.error()));
     const auto call = add_operator_call(respond);
     count(&http_server_stats::operator_requests);
     handlers_.on_operator(call, std::move(*parsed));
