--- a/coltsfoot/jobs/job_owner_evacuation.cc
+++ b/coltsfoot/jobs/job_owner_evacuation.cc
@@ -34,7 +34,7 @@
 
 void job_owner::set_evacuated_zones(std::set<std::string> zones, time_point now) {
   evacuated_zones_ = std::move(zones);
-  next_moves_ = now;
+  next_evacuation_moves_ = now;
   std::vector<std::pair<worker_link*, task_key>> unsent;
   for (auto& [id, link] : links_) {
     link.evacuated = is_evacuated(link);
@@ -123,7 +123,7 @@
     ++stats_.evacuation_moves;
     stop_run(link, move.key, now);
   }
-  if (moves_.empty()) next_moves_ = now + idle_interval;
+  if (evacuation_moves_.empty()) next_evacuation_moves_ = now + idle_interval;
 }
 
 }  // namespace coltsfoot::jobs
