Slow the last tasks of a step last, among fill tasks that disturb equally

A job that waited for its last fill task saw that task paced down like those of wide steps, whose end does not depend on one task. Fill tasks of a worker were slowed in the order of what they take from serving tasks, equal ones in the order of their names.

Losses within a factor of about 1.5 now count as equal, and among those, the tasks of steps with at most an eighth of their tasks (or one) open are slowed last and let go first.

--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -16,6 +16,23 @@
 // The time between two tries of an order doubles up to this many times.
 constexpr std::uint32_t most_doublings = 2;
 
+// A step waits for few last tasks only while at most one of this many of them is open.
+constexpr std::uint32_t tasks_per_last = 8;
+
+// Filling tasks of the worker that are the last ones of their step.
+std::set<task_key> last_tasks_on(const worker_link& link, const job_table& table) {
+  std::set<task_key> last;
+  if (link.serving == 0 || link.fill_millicores == 0) return last;
+  for (const auto& [key, run] : link.runs) {
+    const auto* j = run.fill_millicores > 0 ? table.find(key.job) : nullptr;
+    if (j == nullptr || j->ended()) continue;
+    const auto ref = j->ref_of(key.index);
+    const auto open = j->open_tasks[ref.occurrence * j->accepted.spec.steps.size() + ref.step];
+    if (open <= std::max(1U, j->step_of(ref).count / tasks_per_last)) last.insert(key);
+  }
+  return last;
+}
+
 // The longest time between two stops of a run, however late answers are. A run that is not stopped
 // goes on, so a few stops that get no answer must not take longer than a cancellation may.
 constexpr duration longest_stop_gap{800};
@@ -260,7 +277,7 @@
 
 void job_owner::pace_runs(worker_link& link, time_point now) {
   if (!link.listing) return;
-  auto changes = pacing_changes(link, model_, {}, now);
+  auto changes = pacing_changes(link, model_, {}, last_tasks_on(link, table_), now);
   if (!changes.empty()) link.paced_at = now;
   for (const auto& [key, run] : link.runs) {
     const bool repeat = run.pace_unsure && run.phase == start_phase::confirmed;
--- a/coltsfoot/jobs/pacing.cc
+++ b/coltsfoot/jobs/pacing.cc
@@ -1,8 +1,10 @@
 #include "coltsfoot/jobs/pacing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace coltsfoot::jobs {
 namespace {
@@ -13,19 +15,31 @@
 // Headroom that is too little to slow another task for.
 constexpr double negligible_headroom = 0.03;
 
+// Tasks whose losses differ by less than about this factor disturb about equally: the model is no
+// more exact.
+constexpr double equal_loss_factor = 1.5;
+
+// Losses below this are the same.
+constexpr double least_loss = 0.01;
+
 struct filling_run {
   const task_key* key = nullptr;
   const placed_run* run = nullptr;
-  double share = 0;  // at full speed
+  double share = 0;   // at full speed
+  bool last = false;  // of its step
 };
 
-std::vector<filling_run> filling_runs(const worker_link& link) {
+std::vector<filling_run> filling_runs(const worker_link& link,
+                                      const std::set<task_key>& last_tasks) {
   std::vector<filling_run> out;
   for (const auto& [key, run] : link.runs) {
     if (run.fill_millicores == 0 || run.phase != start_phase::confirmed || run.stop_wanted) {
       continue;
     }
-    out.push_back({.key = &key, .run = &run, .share = fill_share(link, run.fill_millicores)});
+    out.push_back({.key = &key,
+                   .run = &run,
+                   .share = fill_share(link, run.fill_millicores),
+                   .last = last_tasks.contains(key)});
   }
   return out;
 }
@@ -47,14 +61,24 @@
   return static_cast<std::uint32_t>(std::clamp(part / whole * most, 0.0, most));
 }
 
+int loss_class(double loss) {
+  return static_cast<int>(
+      std::lround(std::log(std::max(loss, least_loss)) / std::log(equal_loss_factor)));
+}
+
 std::vector<pace_change> slow(const std::string& serving, double missing, const worker_link& link,
-                              const interference_model& model) {
-  auto order = filling_runs(link);
+                              const interference_model& model,
+                              const std::set<task_key>& last_tasks) {
+  auto order = filling_runs(link, last_tasks);
   const auto full_loss = [&](const filling_run& entry) {
     return model.loss(serving, entry.run->image, entry.share);
   };
+  const auto rank = [&](const filling_run& entry) {
+    const auto loss = full_loss(entry);
+    return std::tuple{-loss_class(loss), entry.last, -loss};
+  };
   std::stable_sort(order.begin(), order.end(),
-                   [&](const auto& a, const auto& b) { return full_loss(a) > full_loss(b); });
+                   [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
   std::vector<pace_change> changes;
   for (const auto& entry : order) {
     if (missing <= negligible_headroom) break;
@@ -77,16 +101,19 @@
 
 std::vector<pace_change> halt(const worker_link& link) {
   std::vector<pace_change> changes;
-  for (const auto& entry : filling_runs(link)) {
+  for (const auto& entry : filling_runs(link, {})) {
     if (entry.run->pace > 0) changes.push_back({.key = *entry.key, .percent = 0});
   }
   return changes;
 }
 
 std::vector<pace_change> release(std::map<std::string, double> room, const worker_link& link,
-                                 const interference_model& model) {
+                                 const interference_model& model,
+                                 const std::set<task_key>& last_tasks) {
   std::vector<pace_change> changes;
-  for (const auto& entry : filling_runs(link)) {
+  auto order = filling_runs(link, last_tasks);
+  std::stable_partition(order.begin(), order.end(), [](const auto& entry) { return entry.last; });
+  for (const auto& entry : order) {
     const auto pace = entry.run->pace;
     if (pace >= 100) continue;
     auto raise = 100 - pace;
@@ -111,7 +138,8 @@
 }
 
 std::vector<pace_change> pacing_changes(const worker_link& link, const interference_model& model,
-                                        const pacing_options& options, time_point now) {
+                                        const pacing_options& options,
+                                        const std::set<task_key>& last_tasks, time_point now) {
   if (!link.listing) return {};
   if (is_over_for_long(link, options.halt_after, now)) return halt(link);
   if (now - link.paced_at < options.settle) return {};
@@ -119,10 +147,10 @@
   const auto least = std::min_element(
       rooms.begin(), rooms.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
   if (least != rooms.end() && least->second < options.slow_below) {
-    return slow(least->first, options.slow_to - least->second, link, model);
+    return slow(least->first, options.slow_to - least->second, link, model, last_tasks);
   }
   for (auto& [serving, headroom] : rooms) headroom -= options.release_to;
-  return release(std::move(rooms), link, model);
+  return release(std::move(rooms), link, model, last_tasks);
 }
 
 }  // namespace coltsfoot::jobs
--- a/coltsfoot/jobs/pacing.h
+++ b/coltsfoot/jobs/pacing.h
@@ -4,12 +4,15 @@
 // Load it answers: serving tasks whose own load swings, beside filling tasks of images that disturb
 // some of them much and others little. The tasks that disturb the one in need most are slowed
 // first; they are let go again as far as all serving tasks have headroom. Where a serving task
-// stays over its target whatever the model expected, all filling tasks beside it halt.
+// stays over its target whatever the model expected, all filling tasks beside it halt. Of tasks
+// that disturb about equally, those that are the last of their step are slowed last and let go
+// first: a step ends with its slowest task.
 //
-//   for (const auto& change : pacing_changes(link, model, {}, now)) send_pace(change);
+//   for (const auto& change : pacing_changes(link, model, {}, last, now)) send_pace(change);
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <vector>
 
 #include "coltsfoot/jobs/interference_model.h"
@@ -31,8 +34,10 @@
   std::uint32_t percent = 100;
 };
 
+// `last_tasks`: those of the worker for whose step only few tasks are open.
 std::vector<pace_change> pacing_changes(const worker_link& link, const interference_model& model,
-                                        const pacing_options& options, time_point now);
+                                        const pacing_options& options,
+                                        const std::set<task_key>& last_tasks, time_point now);
 
 // Share of the worker's processors that a filling run uses at full speed.
 double fill_share(const worker_link& link, std::int64_t millicores);
--- a/coltsfoot/jobs/pacing_test.cc
+++ b/coltsfoot/jobs/pacing_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+
 namespace coltsfoot::jobs {
 namespace {
 
@@ -58,7 +60,7 @@
   link.add(server, serving(1.0));
   link.add(light, filling("light", 100));
   link.add(heavy, filling("heavy", 100));
-  const auto changes = pacing_changes(link, taught(), {}, now);
+  const auto changes = pacing_changes(link, taught(), {}, {}, now);
   EXPECT_LT(percent_of(changes, heavy, 100), 90U);
   EXPECT_EQ(percent_of(changes, light, 100), 100U);
 }
@@ -67,7 +69,7 @@
   auto link = worker();
   link.add(server, serving(2.4));
   link.add(light, filling("light", 40));
-  EXPECT_EQ(percent_of(pacing_changes(link, taught(), {}, now), light, 40), 100U);
+  EXPECT_EQ(percent_of(pacing_changes(link, taught(), {}, {}, now), light, 40), 100U);
 }
 
 TEST(pacing_test, a_change_has_time_to_show) {
@@ -75,7 +77,44 @@
   link.add(server, serving(0.8));
   link.add(heavy, filling("heavy", 100));
   link.paced_at = now - duration{100};
-  EXPECT_TRUE(pacing_changes(link, taught(), {}, now).empty());
+  EXPECT_TRUE(pacing_changes(link, taught(), {}, {}, now).empty());
+}
+
+// A step ends with its slowest task: the last one goes on while another is slowed instead.
+TEST(pacing_test, of_tasks_that_disturb_equally_the_last_of_a_step_is_slowed_last) {
+  const task_key other{job_id{"g"}, 0};
+  auto link = worker();
+  link.add(server, serving(0.95));
+  link.add(heavy, filling("heavy", 100));
+  link.add(other, filling("heavy", 100));
+  for (const auto& [last, wide] : {std::pair{heavy, other}, std::pair{other, heavy}}) {
+    const auto changes = pacing_changes(link, taught(), {}, {last}, now);
+    EXPECT_EQ(percent_of(changes, last, 100), 100U);
+    EXPECT_LT(percent_of(changes, wide, 100), 90U);
+  }
+}
+
+TEST(pacing_test, the_last_of_a_step_is_let_go_first) {
+  const task_key other{job_id{"g"}, 0};
+  auto link = worker();
+  link.add(server, serving(1.9));
+  link.add(heavy, filling("heavy", 20));
+  link.add(other, filling("heavy", 20));
+  for (const auto& [last, wide] : {std::pair{heavy, other}, std::pair{other, heavy}}) {
+    const auto changes = pacing_changes(link, taught(), {}, {last}, now);
+    EXPECT_GT(percent_of(changes, last, 20), percent_of(changes, wide, 20));
+  }
+}
+
+// A task that disturbs much is slowed before others, whatever its step waits for.
+TEST(pacing_test, the_last_of_a_step_is_slowed_if_it_disturbs_most) {
+  auto link = worker();
+  link.add(server, serving(1.0));
+  link.add(light, filling("light", 100));
+  link.add(heavy, filling("heavy", 100));
+  const auto changes = pacing_changes(link, taught(), {}, {heavy}, now);
+  EXPECT_LT(percent_of(changes, heavy, 100), 90U);
+  EXPECT_EQ(percent_of(changes, light, 100), 100U);
 }
 
 // The model expects little of an image; the reports say otherwise for longer than a user bears.
@@ -87,7 +126,7 @@
   link.add(light, filling("light", 60));
   link.add(heavy, filling("heavy", 30));
   link.paced_at = now - duration{100};
-  const auto changes = pacing_changes(link, taught(), {}, now);
+  const auto changes = pacing_changes(link, taught(), {}, {}, now);
   EXPECT_EQ(percent_of(changes, light, 60), 0U);
   EXPECT_EQ(percent_of(changes, heavy, 30), 0U);
 }
--- a/tests/jobs/slow_fill_task_test.cc
+++ b/tests/jobs/slow_fill_task_test.cc
@@ -174,5 +174,41 @@
   }
 }
 
+// Serving tasks leave fill tasks about half of what those beside them would use. The job whose step
+// waits only for one task was slowed with the others.
+TEST(last_task_test, a_job_that_waits_for_its_last_task_ends_before_wide_steps) {
+  virtual_fleet fleet{{.workers = 1}};
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{8'000}));
+  fleet.run_for(duration{500});
+  fleet.submit(0, "serving",
+               job_of({.count = 1,
+                       .demand = {.millicores = 4'000, .memory_mb = 1'000},
+                       .estimate = duration{100},
+                       .long_running = true,
+                       .image = "search",
+                       .response_target = duration{50}}));
+  fleet.run_for(duration{1'000});
+  const auto fill = [](std::uint32_t count) {
+    return job_of({.count = count,
+                   .demand = {.millicores = 1'000, .memory_mb = 500},
+                   .estimate = length,
+                   .fill = true,
+                   .image = "sort"});
+  };
+  const auto begun = fleet.now();
+  fleet.submit(0, "a-last", fill(1));
+  fleet.submit(0, "b-wide", fill(2));
+  const auto time_to = [&](const std::string& id) {
+    EXPECT_TRUE(fleet.reaches(0, id, jobs::job_state::completed, duration{40'000}));
+    return fleet.now() - begun;
+  };
+  fleet.run_for(duration{1'000});
+  fleet.worker(0).set_headroom(1.9);
+  const auto last = time_to("a-last");
+  const auto wide = time_to("b-wide");
+  EXPECT_LT(last, duration{5'000}) << "wide " << wide.count();
+  EXPECT_LT(wide, duration{15'000}) << "last " << last.count();
+}
+
 }  // namespace
 }  // namespace coltsfoot::testing
