Judge the speed of a run whose start only a report confirmed from then on

A run whose start order got no answer is confirmed by the first report that shows it. Its work until then counted with no time, so that its speed came out several times too high. It now counts from that report on, like a run of a former owner.

slow_fill_task_test, job_owner_test, job_owner_restart_test, job_fleet_test and short_task_load_test pass.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -271,8 +271,7 @@
   bool occurrence_due(const job& j, std::uint32_t occurrence) const;
 
   // Moves of slow filling runs.
-  void note_progress(const worker_link& link, placed_run& run, std::uint32_t percent,
-                     time_point now) const;
+  void note_progress(placed_run& run, std::uint32_t percent, time_point now) const;
   void learn_speed(placed_run& run, time_point now);
   void relocate_slow_runs(time_point now);
   void place_moved(time_point now);
--- a/coltsfoot/jobs/job_owner_relocation.cc
+++ b/coltsfoot/jobs/job_owner_relocation.cc
@@ -1,19 +1,21 @@
 // The part of the owner that moves slow fill runs to workers where they work at full speed.
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <optional>
+
 #include "coltsfoot/base/log_text.h"
 #include "coltsfoot/jobs/job_owner.h"
 
 namespace coltsfoot::jobs {
 
-void job_owner::note_progress(const worker_link& link, placed_run& run, std::uint32_t percent,
-                              time_point now) const {
+void job_owner::note_progress(placed_run& run, std::uint32_t percent, time_point now) const {
   if (run.fill_millicores == 0 || !options_.relocation.enabled()) return;
   if (run.progress.is_known()) return run.progress.observe(percent, run.pace, now);
-  // Of a run that a former owner started, or that resumed from a checkpoint, only what it does from
-  // now on is known.
+  // Of a run that a former owner started, that resumed from a checkpoint, or whose start is
+  // confirmed only by this report, only what it does from now on is known.
   const auto restored = run.confirmed_at + options_.relocation.restore;
-  const bool fresh = run.checkpoint.empty() && !run.doubtful && link.failed_looks == 0;
+  const bool fresh = run.checkpoint.empty() && !run.doubtful && run.confirmed_at < now;
   if (!fresh) return run.progress.begin(percent, run.pace, std::max(now, restored));
   run.progress.begin(0, run.pace, run.confirmed_at);
   run.progress.observe(percent, run.pace, now);
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -365,7 +365,7 @@
   }
   run->listed = true;
   mark_started(*table_.find(key.job));
-  note_progress(link, *run, row.percent, now);
+  note_progress(*run, row.percent, now);
   if (row.percent != run->percent || run->progressed_at == time_point{}) {
     run->percent = row.percent;
     run->progressed_at = now;
