--- a/coltsfoot/jobs/job_owner_orders.cc
+++ b/coltsfoot/jobs/job_owner_orders.cc
@@ -283,7 +283,9 @@
 
 void job_owner::pace_runs(worker_link& link, time_point now) {
   if (!link.listing) return;
-  auto changes = pacing_changes(link, model_, {}, last_tasks_on(link, table_), now);
+  const auto last_tasks =
+      options_.relocation.enabled() ? last_tasks_on(link, table_) : std::set<task_key>{};
+  auto changes = pacing_changes(link, model_, {}, last_tasks, now);
   if (!changes.empty()) link.paced_at = now;
   for (const auto& [key, run] : link.runs) {
     const bool repeat = run.pace_unsure && run.phase == start_phase::confirmed;
