Test of connections that the budget closes while their own threads use them

This one has four threads of a listener and 16 clients in one process, and checks that an ordinary request is answered and that nothing stays counted.

--- a/coltsfoot/transport/internal/rest_listener_test.cc
+++ b/coltsfoot/transport/internal/rest_listener_test.cc
@@ -5,6 +5,8 @@
 #include <asio.hpp>
 #include <atomic>
 #include <future>
+#include <thread>
+#include <vector>
 
 namespace coltsfoot::internal {
 namespace {
@@ -72,5 +74,45 @@
   EXPECT_EQ(budget->stats().closed[0], 1U);
 }
 
+// Sends most of a body, or all of it, and goes without reading.
+void connect_and_go(std::uint16_t port, bool whole) {
+  asio::io_context io;
+  auto socket = connect_to(io, port);
+  std::string text = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int n = 0; n < 60; ++n) text += "400\r\n" + std::string(0x400, 'x') + "\r\n";
+  if (whole) text += "0\r\n\r\n";
+  asio::error_code closed;
+  asio::write(socket, asio::buffer(text), closed);
+}
+
+// Guards against a connection that another thread closes while its own thread uses it, and against
+// use that is still counted when all connections have gone.
+TEST(rest_listener_test, a_crowd_over_the_budget_leaves_nothing_behind) {
+  const auto budget =
+      std::make_shared<client_budget>(client_limits{.bytes = 400'000, .connections = 12});
+  auto listener = std::make_unique<rest_listener>(
+      rest_listener_options{.threads = 4, .clients = budget},
+      [](const rest_request& request, const rest_responder& respond) {
+        respond({.status = 200, .body = request.body});
+      });
+  ASSERT_TRUE(listener->start());
+  std::vector<std::thread> crowd;
+  for (int client = 0; client < 16; ++client) {
+    crowd.emplace_back([port = listener->port()] {
+      for (int n = 0; n < 30; ++n) connect_and_go(port, n % 3 == 0);
+    });
+  }
+  for (auto& client : crowd) client.join();
+  asio::io_context io;
+  auto socket = connect_to(io, listener->port());
+  send_request(socket);
+  std::string text;
+  asio::read_until(socket, asio::dynamic_buffer(text), "\r\n");
+  EXPECT_TRUE(text.starts_with("HTTP/1.1 200 ")) << text;
+  listener.reset();
+  EXPECT_EQ(budget->stats().bytes, 0U);
+  EXPECT_EQ(budget->stats().connections, 0U);
+}
+
 }  // namespace
 }  // namespace coltsfoot::internal
