--- a/tests/fuzz/job_bodies.cc
+++ b/tests/fuzz/job_bodies.cc
@@ -151,7 +151,7 @@
   std::string long_string() {
     constexpr std::array<std::string_view, 6> parts{"x",        R"(\n)", R"(\u20ac)",
                                                     "\xc3\xa9", "\xff",  "\x01"};
-    const auto text = '"' + repeated(any(parts), "", size()) + '"';
+    auto text = '"' + repeated(any(parts), "", size()) + '"';
     switch (below(4)) {
       case 0:
         return R"({"steps":[{}],"specification":)" + text + "}";
