--- a/tests/jobs/evacuation_test.cc
+++ b/tests/jobs/evacuation_test.cc
@@ -98,7 +98,7 @@
     const int owner = fleet.owner();
     ASSERT_GE(owner, 0);
     fleet.kill_node(owner);
-    fleet.compact_store();  // the successor of a node that starts now has a listing only
+    fleet.compact_store();  // a node that starts now reads the request in a listing
     fleet.run_for(duration{1'000});
     fleet.start_node(owner);
     submit_jobs(fleet, "b", 30);
@@ -109,6 +109,33 @@
   }
 }
 
+// Guards against nodes that place tasks, or repeat former starts, before they have read the
+// request.
+TEST(evacuation_test, nodes_that_all_start_anew_start_nothing_in_the_zone) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    virtual_fleet fleet{{.workers = 4, .seed = seed, .lost_answers = 0.1, .zones = 2}};
+    wait_until_settled(fleet);
+    submit_jobs(fleet, "a", 5);
+    fleet.write_config("evacuate/z0", "{}");
+    fleet.submit(0, "b", short_job(40));
+    fleet.run_for(duration{100 + 20 * static_cast<int>(seed)});
+    for (int node = 0; node < 3; ++node) fleet.kill_node(node);
+    fleet.run_for(duration{200});
+    const auto restarted = fleet.now();
+    fleet.set_config_readable(false);
+    for (int node = 0; node < 3; ++node) fleet.start_node(node);
+    fleet.run_for(duration{8'000});
+    fleet.set_config_readable(true);
+    fleet.run_for(duration{1'000});
+    submit_jobs(fleet, "c", 10);
+    EXPECT_LT(last_start(fleet, 0), restarted) << "seed " << seed;
+    EXPECT_LT(last_start(fleet, 1), restarted) << "seed " << seed;
+    EXPECT_GT(last_start(fleet, 2), restarted) << "seed " << seed;
+    EXPECT_TRUE(fleet.reaches(0, "c9", jobs::job_state::completed, duration{8'000}));
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
 // Guards against a request that is forgotten while the store can't be read.
 TEST(evacuation_test, the_request_stays_in_force_while_the_store_is_down) {
   virtual_fleet fleet{two_zones};
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -76,6 +76,11 @@
     absences_.on_trouble(now_);
     store_down_ = down;
   }
+  // While set, no node can read the operator's topic.
+  void set_config_readable(bool readable) {
+    absences_.on_trouble(now_);
+    config_readable_ = readable;
+  }
   void ask_shutdown(int node);
   // From when an append is recorded until its answer arrives.
   void set_append_time(duration time) { append_time_ = time; }
@@ -188,6 +193,7 @@
   std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> event_queue_;
   fake_store store_;
   bool store_down_ = false;
+  bool config_readable_ = true;
   duration append_time_{5};
   bool late_caller_appends_ = false;
   std::vector<node_state> nodes_;
--- a/tests/jobs/virtual_fleet_commands.cc
+++ b/tests/jobs/virtual_fleet_commands.cc
@@ -105,7 +105,8 @@
 
 void virtual_fleet::read_when_due(int node, const jobs::read_topic& c, time_point until) {
   jobs::topic_read event{.call = c.call, .topic = c.topic, .shard = c.shard};
-  if (store_down_ || nodes_.at(static_cast<std::size_t>(node)).store_cut) {
+  const bool unreadable = c.topic == jobs::store_topic::configuration && !config_readable_;
+  if (store_down_ || unreadable || nodes_.at(static_cast<std::size_t>(node)).store_cut) {
     event.page = jobs::read_failed{};
     return deliver_after(node, duration{50}, std::move(event));
   }
