--- a/tests/jobs/fake_runner.cc
+++ b/tests/jobs/fake_runner.cc
@@ -119,7 +119,7 @@
   if (run.work.lasts) return worked >= start_up ? 100 : 0;
   const auto percent = run.work.fills
                            ? 100 * run.done_ms / static_cast<double>(run.work.length.count())
-                           : static_cast<double>(worked.count() / 10);
+                           : static_cast<double>(worked.count()) / 10;
   return static_cast<std::uint32_t>(std::min(percent, 99.0));
 }
 
