--- a/coltsfoot/daemon/fleet_metrics.cc
+++ b/coltsfoot/daemon/fleet_metrics.cc
@@ -78,6 +78,7 @@
   }
   page.add_counter("appends_total", stats.appends);
   page.add_counter("appends_failed_total", stats.appends_failed);
+  page.add_counter("journal_reads_total", stats.journal_reads);
   page.add_counter("reads_failed_total", stats.reads_failed);
   page.add_counter("malformed_records_total", stats.malformed_records);
   page.add_counter("log_lines_dropped_total", dropped_log_lines());
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -148,6 +148,7 @@
   if (!journals_are_fresh() || context_.refuses_waiting) return refuse_cancel(request.call);
   unproved_cancels_.emplace(
       request.call, unproved_cancel{.request = request, .job = id, .arrived = context_.now});
+  for (auto& shard : shards_) shard->hurry_journal();
 }
 
 void job_node::settle_unproved_cancels() {
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -36,8 +36,7 @@
 void job_shard::set_shard_count(std::size_t shards) {
   const auto& options = context_.options;
   const auto others = static_cast<std::int64_t>(shards) - 1;
-  journal_.set_poll_interval(options.jobs_topic.poll_interval +
-                             options.read_gap_per_shard * others);
+  shard_count_ = shards;
   append_gap_ = std::min(options.append_gap_per_shard * others, options.longest_append_gap);
 }
 
@@ -80,8 +79,10 @@
 // --- State ---
 
 bool job_shard::is_fresh() const {
+  const auto& options = context_.options;
+  const auto limit = freshness_limit(read_inputs(), options.read_interval, options.fresh);
   return journal_.caught_up() && journal_.last_success() &&
-         context_.now - *journal_.last_success() < context_.options.fresh;
+         context_.now - *journal_.last_success() < limit;
 }
 
 bool job_shard::includes(time_point time) const {
@@ -99,8 +100,18 @@
 
 // --- Journal ---
 
+read_interval_inputs job_shard::read_inputs() const {
+  return {.shards = shard_count_,
+          .has_other_owner = has_other_owner() && !is_claiming(),
+          .owner_heard = journal_.last_success() && owner_seen_ >= *journal_.last_success(),
+          .strength = context_.options.strength,
+          .owner_strength = state_.claim.strength};
+}
+
 void job_shard::read_journal() {
+  journal_.set_poll_interval(read_interval(read_inputs(), context_.options.read_interval));
   if (auto request = journal_.next_request(context_.now)) {
+    ++context_.stats.journal_reads;
     context_.push(read_topic{.call = context_.new_call(),
                              .topic = store_topic::jobs,
                              .shard = number_,
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -74,6 +74,8 @@
 
   // Number of shards that the owner of this one owns, for the election.
   void set_owner_load(std::size_t shards) { owner_load_ = shards; }
+  // Makes the next read of the journal due at once.
+  void hurry_journal() { journal_.hurry(); }
   // Spaces out calls to the store by the number of shards in the fleet.
   void set_shard_count(std::size_t shards);
   // Records a layout, once; only at the owner of the first shard.
@@ -102,6 +104,7 @@
   void notify_owner(const keyed_record& record);
 
   // Journal.
+  read_interval_inputs read_inputs() const;
   void read_journal();
   void apply(const topic_change& change);
   void apply(const keyed_record& record);
@@ -125,6 +128,7 @@
   shard_number number_;
   journal_state state_;
   topic_follower journal_;
+  std::size_t shard_count_ = 1;
   std::size_t transfers_applied_ = 0;
   time_point owner_seen_;     // when a record of the owner was read
   time_point claim_read_at_;  // when the newest claim was read
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coltsfoot/following/read_interval.h"
 #include "coltsfoot/jobs/job_owner.h"
 #include "coltsfoot/jobs/node_messages.h"
 #include "coltsfoot/jobs/owner_election.h"
@@ -35,7 +36,7 @@
   store_limits store;
   election_options election;
   layout_options layout;
-  topic_follower_options jobs_topic{.poll_interval = duration{250}, .poll_wait = duration{400}};
+  topic_follower_options jobs_topic{.poll_wait = duration{400}};
   topic_follower_options config_topic{.poll_interval = duration{100}, .poll_wait = duration{1'500}};
   topic_follower_options workers_topic{.poll_interval = duration{400}, .poll_wait = duration{800}};
   duration heartbeat{400};         // the owner writes at least this often
@@ -43,13 +44,13 @@
   duration append_retry{40};       // after an append that was not recorded
   // Calls to the store grow with the shards: each further one lets reads of all journals and an
   // owner's appends wait longer, up to a limit.
-  duration read_gap_per_shard{85};
+  read_interval_options read_interval;
   duration append_gap_per_shard{5};
   duration longest_append_gap{20};
   duration claim_retry{200};      // after a claim that was not recorded
   duration submit_patience{400};  // how long a submission is tried before it is refused
   duration peer_timeout{300};     // of a question to the owner
-  duration fresh{1'000};          // age up to which a copy of the journal proves absence
+  duration fresh{1'000};          // age up to which a copy that is read often proves absence
   duration store_silence{2'500};  // without the store for this long, a node is not ready
   duration pause_limit{1'000};    // a pause in which a successor may have taken over
   duration retry_after{1'000};    // told to callers
@@ -70,6 +71,7 @@
   std::map<caller_verdict, std::uint64_t> answers;
   std::uint64_t appends = 0;
   std::uint64_t appends_failed = 0;
+  std::uint64_t journal_reads = 0;
   std::uint64_t reads_failed = 0;
   std::uint64_t malformed_records = 0;
   std::uint64_t claims = 0;
