Let reads be due as long as a cancellation waits for them

A weak node that had begun a read in the very pass that took the cancellation of an unknown job waited 1.2 s for its next one: the read has to be sent after the call.

--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -90,6 +90,8 @@
   bool journals_are_fresh() const;
   // Whether the copies of all shards have every record that was made before `time`.
   bool journals_include(time_point time) const;
+  // Makes reads due of the journals that may lack records made before `time`.
+  void hurry_journals_behind(time_point time);
   // Whether the configuration is new enough to prove that a queue is not there.
   bool configuration_is_fresh() const;
 
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -99,6 +99,13 @@
                      [time](const auto& shard) { return shard->includes(time); });
 }
 
+// A node that reads the journals rarely would let a caller wait for its next read.
+void job_node::hurry_journals_behind(time_point time) {
+  for (auto& shard : shards_) {
+    if (!shard->includes(time)) shard->hurry_journal();
+  }
+}
+
 bool job_node::configuration_is_fresh() const {
   const auto read_at = configuration_.last_success();
   return configuration_.caught_up() && read_at &&
@@ -148,7 +155,6 @@
   if (!journals_are_fresh() || context_.refuses_waiting) return refuse_cancel(request.call);
   unproved_cancels_.emplace(
       request.call, unproved_cancel{.request = request, .job = id, .arrived = context_.now});
-  for (auto& shard : shards_) shard->hurry_journal();
 }
 
 void job_node::settle_unproved_cancels() {
@@ -164,6 +170,7 @@
                context_.refuses_waiting) {
       refuse_cancel(call);
     } else {
+      hurry_journals_behind(waiting.arrived);
       unproved_cancels_.emplace(call, std::move(waiting));
     }
   }
--- a/coltsfoot/transport/http_server.cc
+++ b/coltsfoot/transport/http_server.cc
@@ -171,7 +171,8 @@
   const auto rest = path.substr(end);
   service_request out;
   out.service = service_id{std::string{path.substr(0, end)}};
-  out.target = (rest.starts_with('/') ? "" : "/") + std::string{rest};
+  out.target = rest.starts_with('/') ? "" : "/";
+  out.target += rest;
   if (out.service.empty()) return tl::unexpected(std::string{"the target names no service"});
   const auto* customer_name = request.header("coltsfoot-customer");
   if (customer_name == nullptr || customer_name->empty()) {
