--- a/coltsfoot/config/fleet_settings_test.cc
+++ b/coltsfoot/config/fleet_settings_test.cc
@@ -72,7 +72,9 @@
   for (const std::string key :
        {"memory_mb", "file_descriptors", "client_memory_mb", "client_connections"}) {
     for (const std::string value : {"0", "-1", "many", "1.5", "99999999"}) {
-      const auto error = error_of(complete + key + ": " + value + "\n");
+      std::string text = complete;
+      text.append(key).append(": ").append(value).append("\n");
+      const auto error = error_of(text);
       EXPECT_NE(error.find("f.yaml:8: " + key), std::string::npos) << key << value << ": " << error;
     }
   }
