--- a/tests/fuzz/body_check.h
+++ b/tests/fuzz/body_check.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "tests/fuzz/job_bodies.h"
+#include "tests/fuzz/platform/job_bodies.h"
 
 namespace coltsfoot::testing {
 
--- a/tests/fuzz/job_bodies.cc
+++ b/tests/fuzz/platform/job_bodies.cc
@@ -1,4 +1,4 @@
-#include "tests/fuzz/job_bodies.h"
+#include "tests/fuzz/platform/job_bodies.h"
 
 #include <fmt/format.h>
 
