--- a/coltsfoot/daemon/client_limits_test.cc
+++ b/coltsfoot/daemon/client_limits_test.cc
@@ -7,7 +7,7 @@
 
 constexpr std::uint64_t mib = 1'048'576;
 constexpr machine_size machine{.memory_bytes = 32'768 * mib, .file_descriptors = 20'000};
-const std::size_t largest = largest_request_bytes(512 * 1'024);
+const std::size_t largest = largest_request_bytes(std::size_t{512} * 1'024);
 
 std::string error_of(const client_limit_settings& settings) {
   const auto limits = resolve_client_limits(settings, machine, largest);
--- a/coltsfoot/transport/internal/client_socket.h
+++ b/coltsfoot/transport/internal/client_socket.h
@@ -79,9 +79,9 @@
   executor_type get_executor() { return socket_.get_executor(); }
   lowest_layer_type& lowest_layer() { return socket_.lowest_layer(); }
   bool is_open() const { return socket_.is_open(); }
-  void cancel(asio::error_code& error) { static_cast<void>(socket_.cancel(error)); }
+  void cancel(asio::error_code& error) { error = socket_.cancel(error); }
   void shutdown(asio::ip::tcp::socket::shutdown_type what, asio::error_code& error) {
-    static_cast<void>(socket_.shutdown(what, error));
+    error = socket_.shutdown(what, error);
   }
   void close() {
     detach();
