--- a/tests/process/support/client_crowd.cc
+++ b/tests/process/support/client_crowd.cc
@@ -26,7 +26,6 @@
     setsockopt(handle, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
     sockets_.push_back(handle);
     // A server that refuses it leaves a socket on which nothing can be sent.
-    // The socket doesn't block: the connection is made later, or is refused like any other.
     [[maybe_unused]] const int result =
         connect(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   }
