--- a/tests/jobs/slow_fill_task_test.cc
+++ b/tests/jobs/slow_fill_task_test.cc
@@ -177,7 +177,8 @@
 // Serving tasks leave fill tasks about half of what those beside them would use. The job whose step
 // waits only for one task was slowed with the others.
 TEST(last_task_test, a_job_that_waits_for_its_last_task_ends_before_wide_steps) {
-  virtual_fleet fleet{{.workers = 1}};
+  // Without another worker, no run can move.
+  virtual_fleet fleet{{.workers = 1, .restore = restore}};
   ASSERT_TRUE(fleet.run_until([&] { return fleet.is_settled(); }, duration{8'000}));
   fleet.run_for(duration{500});
   fleet.submit(0, "serving",
