Refuse new connections while too many descriptors wait to be closed

client_limits_process_test failed on the merged code: coltsfootd, whose listeners have two threads, held up to 129 descriptors more than before while 140 connections were opened and closed at once beside other load (bound 64; 76 to 129 in four of five runs). Connections that the budget closes keep their descriptor until their own thread closes it, and new ones came faster. Such descriptors count now, up to a quarter above the limit.

--- a/coltsfoot/transport/client_budget.cc
+++ b/coltsfoot/transport/client_budget.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -17,6 +18,9 @@
     "\r\n"
     "not run: the server closes incomplete requests because it is overloaded";
 
+// Connections that are being closed may hold descriptors for one in this many connections allowed.
+constexpr std::size_t closing_share = 4;
+
 // Neither waits nor fails: a client whose receive buffer is full only sees the end.
 void send_not_run(int descriptor) {
   static_cast<void>(::send(descriptor, not_run_response.data(), not_run_response.size(),
@@ -65,7 +69,15 @@
   }
 }
 
+// Connections that the budget has closed hold their descriptors until their own threads close them.
+// While new connections come faster than that, they are refused.
 bool client_budget::admit_connection() {
+  const auto descriptors = connections_ + closing_;
+  const auto spare = std::max<std::size_t>(limits_.connections / closing_share, 1);
+  if (descriptors > spare && descriptors - spare >= limits_.connections) {
+    count(client_close_cause::refused);
+    return false;
+  }
   if (connections_ < limits_.connections) return true;
   auto* account = oldest({idle, receiving, sending});
   if (account == nullptr) {
@@ -92,6 +104,8 @@
   if (account.listed_phase_ == receiving) send_not_run(account.descriptor_);
   // Wakes the connection's own thread, which then closes the descriptor.
   ::shutdown(account.descriptor_, SHUT_RDWR);
+  account.closing_ = true;
+  ++closing_;
   retire(account);
 }
 
@@ -179,6 +193,7 @@
 void client_account::detach() {
   const std::lock_guard lock{budget_->mutex_};
   budget_->retire(*this);
+  if (std::exchange(closing_, false)) --budget_->closing_;
   descriptor_ = -1;
 }
 
--- a/coltsfoot/transport/client_budget.h
+++ b/coltsfoot/transport/client_budget.h
@@ -29,7 +29,7 @@
   memory_receiving,  // an incomplete request, because of the memory
   memory_sending,    // a response that is not read, because of the memory
   connections,       // idle or incomplete, in favour of a new connection
-  refused            // a new connection, while the others all wait for their response
+  refused            // a new one, while all others wait for their response or are being closed
 };
 inline constexpr std::size_t client_close_causes = 4;
 
@@ -79,6 +79,7 @@
   std::size_t bytes_ = 0;
   std::size_t retired_bytes_ = 0;  // part of `bytes_`, of accounts that are closed
   std::size_t connections_ = 0;    // that are not closed
+  std::size_t closing_ = 0;        // closed by the budget, and their descriptors are still open
   std::array<std::uint64_t, client_close_causes> closed_{};
 };
 
@@ -118,6 +119,7 @@
   // Guarded by the mutex of the budget.
   int descriptor_;
   bool listed_ = false;
+  bool closing_ = false;
   client_budget::phase listed_phase_ = client_budget::idle;
   client_budget::account_list::iterator place_;
   std::uint64_t since_ = 0;
