--- a/coltsfoot/evacuation/evacuation_moves_benchmark.cc
+++ b/coltsfoot/evacuation/evacuation_moves_benchmark.cc
@@ -52,7 +52,8 @@
     link.listing = worker_listing{
         .id = id,
         .service = service,
-        .capacity = {.millicores = tasks_per_worker * 1'000 + free_millicores, .memory_mb = 10'000},
+        .capacity = {.millicores = std::int64_t{tasks_per_worker} * 1'000 + free_millicores,
+                     .memory_mb = 10'000},
         .labels = {"l", "r"}};
     link.listed = true;
     link.evacuated = i % 3 == 0;
--- a/coltsfoot/transport/internal/rest_listener_test.cc
+++ b/coltsfoot/transport/internal/rest_listener_test.cc
@@ -96,8 +96,10 @@
         respond({.status = 200, .body = request.body});
       });
   ASSERT_TRUE(listener->start());
+  constexpr int clients = 16;
   std::vector<std::thread> crowd;
-  for (int client = 0; client < 16; ++client) {
+  crowd.reserve(clients);
+  for (int client = 0; client < clients; ++client) {
     crowd.emplace_back([port = listener->port()] {
       for (int n = 0; n < 30; ++n) connect_and_go(port, n % 3 == 0);
     });
