--- a/tests/process/support/child_process.cc
+++ b/tests/process/support/child_process.cc
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -86,6 +87,15 @@
   if (!status_) ::kill(pid_, number);
 }
 
+void child_process::limit_descriptors(std::uint64_t count) const {
+  rlimit limit{};
+  if (prlimit(pid_, RLIMIT_NOFILE, nullptr, &limit) == 0) {
+    limit.rlim_cur = count;
+    if (prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr) == 0) return;
+  }
+  throw std::runtime_error("can't limit the descriptors of " + log_path_);
+}
+
 void child_process::kill_now() {
   if (!running()) return;
   ::kill(pid_, SIGKILL);
--- a/tests/process/support/child_process.h
+++ b/tests/process/support/child_process.h
@@ -56,6 +56,9 @@
 
   void signal(int number) const;
 
+  // Sets how many descriptors the process may open; throws if that fails.
+  void limit_descriptors(std::uint64_t count) const;
+
   // Sends SIGKILL and waits for the end.
   void kill_now();
 
--- a/tests/process/support/local_cluster.cc
+++ b/tests/process/support/local_cluster.cc
@@ -89,7 +89,7 @@
   const auto& own = ports_.at(number);
   return fmt::format(settings_format, number, number % options_.racks, own.callers.number(),
                      own.peers.number(), seeds, log_port_, hosts_port_, source_dir()) +
-         std::string{options_.short_intervals ? short_intervals : ""};
+         std::string{options_.short_intervals ? short_intervals : ""} + options_.more_settings;
 }
 
 void local_cluster::start_node(int number) {
--- a/tests/process/support/local_cluster.h
+++ b/tests/process/support/local_cluster.h
@@ -27,6 +27,7 @@
   std::string name;  // of the folder for settings and logs
   std::string plan_processors = "16";
   std::string log_switches = "{}";  // of the log stand-in from its start, as JSON
+  std::string more_settings;        // further lines of the settings of each node
   bool short_intervals = true;      // false: the defaults of the settings, as in a real deployment
 };
 
