Listeners: outlive clients that are gone before they are looked at

Callers saw a process end: "terminate called after throwing an instance of 'std::system_error', remote_endpoint: Transport endpoint is not connected".

Cause: RESTinio's acceptor asks for the address of a new connection twice, the second time for the IP blocker, in a function that is noexcept. A client that resets its connection between the two calls makes the second one throw.

Fix: listener_acceptor takes the place of RESTinio's acceptor for the listeners. It asks once, without an exception, and drops a connection that is gone. The peer port has an acceptor of its own, which did not show the fault.

--- a/coltsfoot/transport/internal/client_socket.h
+++ b/coltsfoot/transport/internal/client_socket.h
@@ -61,7 +61,7 @@
   using executor_type = asio::ip::tcp::socket::executor_type;
   using lowest_layer_type = asio::ip::tcp::socket::lowest_layer_type;
 
-  explicit client_socket(asio::io_context& context) : socket_(context) {}
+  explicit client_socket(asio::ip::tcp::socket socket) : socket_(std::move(socket)) {}
   client_socket(client_socket&&) = default;
   client_socket& operator=(client_socket&&) = delete;
   ~client_socket() { detach(); }
--- /dev/null
+++ b/coltsfoot/transport/internal/listener_acceptor.h
@@ -0,0 +1,118 @@
+// Accepts the connections of a listener in place of RESTinio's acceptor, which ends the process if
+// a client is gone before its address is asked for a second time.
+//
+// RESTinio takes it for all listeners whose socket type is `client_socket`.
+#pragma once
+
+#include <exception>
+#include <memory>
+#include <restinio/all.hpp>
+#include <tuple>
+#include <utility>
+
+#include "coltsfoot/transport/internal/client_socket.h"
+
+namespace coltsfoot::internal {
+
+// RESTinio's connections ask for a limiter, which the listeners don't use.
+class unused_limiter : restinio::connection_count_limits::impl::acceptor_callback_iface_t {
+ public:
+  using limiter = restinio::connection_count_limits::noop_connection_count_limiter_t;
+
+  limiter* get() { return &limiter_; }
+
+ private:
+  void call_accept_now(std::size_t /*index*/) noexcept override {}
+  void schedule_next_accept_attempt(std::size_t /*index*/) noexcept override {}
+
+  limiter limiter_{this, restinio::connection_count_limits::max_parallel_connections_t{0},
+                   restinio::connection_count_limits::max_active_accepts_t{0}};
+};
+
+// All but the constructor is called on the strand, or while no thread of the listener runs.
+template <typename Traits>
+class listener_acceptor : public std::enable_shared_from_this<listener_acceptor<Traits>> {
+ public:
+  using factory_type = restinio::impl::connection_factory_t<Traits>;
+  using strand_type = typename Traits::strand_t;
+
+  template <typename Settings>
+  listener_acceptor(Settings& settings, asio::io_context& context,
+                    std::shared_ptr<factory_type> factory, typename Traits::logger_t& /*logger*/)
+      : endpoint_(restinio::get<asio::ip::address>(settings.address()), settings.port()),
+        after_bind_(settings.giveaway_acceptor_post_bind_hook()),
+        ip_blocker_(settings.ip_blocker()),
+        factory_(std::move(factory)),
+        strand_(context.get_executor()),
+        acceptor_(context) {}
+
+  // Throws if the address can't be listened on.
+  void open() {
+    if (acceptor_.is_open()) return;
+    try {
+      acceptor_.open(endpoint_.protocol());
+      acceptor_.set_option(asio::socket_base::reuse_address{true});
+      acceptor_.bind(endpoint_);
+      after_bind_(acceptor_);
+      acceptor_.listen(asio::socket_base::max_listen_connections);
+    } catch (const std::exception&) {
+      close();
+      throw;
+    }
+    accept();
+  }
+
+  void close() {
+    asio::error_code ignored;
+    std::ignore = acceptor_.close(ignored);
+  }
+
+  strand_type& get_open_close_operations_executor() { return strand_; }
+
+ private:
+  void accept() {
+    acceptor_.async_accept(asio::bind_executor(
+        strand_, [self = this->shared_from_this()](const asio::error_code& error,
+                                                   asio::ip::tcp::socket socket) {
+          if (error || !self->acceptor_.is_open()) return;
+          self->begin_connection(std::move(socket));
+          self->accept();
+        }));
+  }
+
+  // Without effect if the client is gone, or the connection can't be made for want of memory.
+  void begin_connection(asio::ip::tcp::socket socket) {
+    asio::error_code gone;
+    const auto remote = socket.remote_endpoint(gone);
+    if (gone) return;
+    const auto verdict = ip_blocker_->inspect(restinio::ip_blocker::incoming_info_t{remote});
+    if (verdict != restinio::ip_blocker::allow()) return;
+    try {
+      client_socket client{std::move(socket)};
+      factory_->create_new_connection(std::move(client), remote, {limiter_.get()})->init();
+    } catch (const std::exception&) {
+      return;
+    }
+  }
+
+  asio::ip::tcp::endpoint endpoint_;
+  restinio::acceptor_post_bind_hook_t after_bind_;
+  std::shared_ptr<typename Traits::ip_blocker_t> ip_blocker_;
+  std::shared_ptr<factory_type> factory_;
+  unused_limiter limiter_;
+  strand_type strand_;
+  asio::ip::tcp::acceptor acceptor_;
+};
+
+}  // namespace coltsfoot::internal
+
+namespace restinio::impl {
+
+template <typename Traits>
+  requires std::same_as<typename Traits::stream_socket_t, coltsfoot::internal::client_socket>
+class acceptor_t<Traits> final : public coltsfoot::internal::listener_acceptor<Traits> {
+ public:
+  using coltsfoot::internal::listener_acceptor<Traits>::listener_acceptor;
+};
+
+}  // namespace restinio::impl
--- a/coltsfoot/transport/internal/rest_listener.cc
+++ b/coltsfoot/transport/internal/rest_listener.cc
@@ -12,6 +12,7 @@
 
 #include "coltsfoot/transport/internal/client_socket.h"
 #include "coltsfoot/transport/internal/counted_parser.h"
+#include "coltsfoot/transport/internal/listener_acceptor.h"
 #include "coltsfoot/transport/internal/open_requests.h"
 
 namespace coltsfoot::internal {
@@ -150,6 +151,10 @@
   });
 }
 
+asio::ip::address listen_address_of(const std::string& ip) {
+  return ip == "localhost" ? asio::ip::address_v4::loopback() : asio::ip::make_address(ip);
+}
+
 bool is_printable(std::string_view text) {
   return std::all_of(text.begin(), text.end(),
                      [](unsigned char c) { return c == '\t' || (c >= 0x20 && c != 0x7f); });
@@ -198,7 +203,7 @@
  private:
   restinio::server_settings_t<listener_traits> settings() {
     restinio::server_settings_t<listener_traits> settings;
-    settings.address(options_.ip)
+    settings.address(listen_address_of(options_.ip))
         .port(options_.port)
         .connection_state_listener(bound_)
         .ip_blocker(bound_)
