Listeners: accept again after an accept has failed

Callers saw a node that answered nothing any more, although it ran.

Cause: RESTinio doesn't start the next accept if one fails, as for want of descriptors (read in the former acceptor, listed as open in client-limits.md).

Evidence: connections_while_the_process_has_no_descriptor_left on: both programs did not answer within 120 s after descriptors were free again.

Fix: the failure is counted (client_accepts_failed_total, and in the line clients_closed) and accepting is tried again after 100 ms, as the peer port has done.

--- a/coltsfoot/daemon/client_limits.cc
+++ b/coltsfoot/daemon/client_limits.cc
@@ -92,6 +92,7 @@
   page.add_gauge("client_memory_limit_bytes", static_cast<double>(stats.limits.bytes));
   page.add_gauge("client_connections", static_cast<double>(stats.connections));
   page.add_gauge("client_connections_limit", static_cast<double>(stats.limits.connections));
+  page.add_counter("client_accepts_failed_total", stats.failed_accepts);
   for (std::size_t n = 0; n < client_close_causes; ++n) {
     page.add_counter("client_connections_closed_total", stats.closed[n],
                      exposition_label("cause", cause_names[n]));
@@ -100,15 +101,17 @@
 
 std::optional<std::string> client_close_log::sample(const client_budget_stats& stats,
                                                     time_point now) {
-  if (stats.closed == reported_) return std::nullopt;
+  if (stats.closed == reported_ && stats.failed_accepts == reported_accepts_) return std::nullopt;
   if (last_line_ && now - *last_line_ < log_interval) return std::nullopt;
   std::string line = "event=clients_closed";
   for (std::size_t n = 0; n < client_close_causes; ++n) {
     line += fmt::format(" {}={}", cause_names[n], stats.closed[n] - reported_[n]);
   }
-  line += fmt::format(" bytes={} byte_limit={} open_connections={} open_limit={}", stats.bytes,
-                      stats.limits.bytes, stats.connections, stats.limits.connections);
+  line += fmt::format(" failed_accepts={} bytes={} byte_limit={} open_connections={} open_limit={}",
+                      stats.failed_accepts - reported_accepts_, stats.bytes, stats.limits.bytes,
+                      stats.connections, stats.limits.connections);
   reported_ = stats.closed;
+  reported_accepts_ = stats.failed_accepts;
   last_line_ = now;
   return line;
 }
--- a/coltsfoot/daemon/client_limits.h
+++ b/coltsfoot/daemon/client_limits.h
@@ -45,14 +45,15 @@
 // Adds what clients use, the limits, and the connections closed.
 void add_client_metrics(exposition& page, const client_budget_stats& stats);
 
-// Reports closed connections at a bounded rate.
+// Reports closed connections and failed accepts at a bounded rate.
 class client_close_log {
  public:
-  // Returns a line if connections were closed since the last line and that is long enough ago.
+  // Returns a line if there were any since the last line and that is long enough ago.
   std::optional<std::string> sample(const client_budget_stats& stats, time_point now);
 
  private:
   std::array<std::uint64_t, client_close_causes> reported_{};
+  std::uint64_t reported_accepts_ = 0;
   std::optional<time_point> last_line_;
 };
 
--- a/coltsfoot/transport/client_budget.cc
+++ b/coltsfoot/transport/client_budget.cc
@@ -42,7 +42,11 @@
 
 client_budget_stats client_budget::stats() const {
   const std::lock_guard lock{mutex_};
-  return {.bytes = bytes_, .connections = connections_, .limits = limits_, .closed = closed_};
+  return {.bytes = bytes_,
+          .connections = connections_,
+          .limits = limits_,
+          .closed = closed_,
+          .failed_accepts = failed_accepts_};
 }
 
 void client_budget::move_to_phase(client_account& account) {
--- a/coltsfoot/transport/client_budget.h
+++ b/coltsfoot/transport/client_budget.h
@@ -38,6 +38,7 @@
   std::size_t connections = 0;
   client_limits limits;
   std::array<std::uint64_t, client_close_causes> closed{};  // since the start, by cause
+  std::uint64_t failed_accepts = 0;                         // since the start
 };
 
 // Approximate memory of a connection without a request: RESTinio's connection with its input buffer
@@ -56,6 +57,9 @@
   void set_limits(client_limits limits);
   client_budget_stats stats() const;
 
+  // A listener could not accept a connection.
+  void count_failed_accept() { ++failed_accepts_; }
+
  private:
   friend class client_account;
   // In the order of how long they have been in the phase. Accounts that are closed are in no list.
@@ -81,6 +85,7 @@
   std::size_t connections_ = 0;    // that are not closed
   std::size_t closing_ = 0;        // closed by the budget, and their descriptors are still open
   std::array<std::uint64_t, client_close_causes> closed_{};
+  std::atomic<std::uint64_t> failed_accepts_ = 0;
 };
 
 // What one connection holds. All member functions may be called from any thread.
--- a/coltsfoot/transport/internal/listener_acceptor.h
+++ b/coltsfoot/transport/internal/listener_acceptor.h
@@ -1,9 +1,11 @@
-// Accepts the connections of a listener in place of RESTinio's acceptor, which ends the process if
-// a client is gone before its address is asked for a second time.
+// Accepts the connections of a listener in place of RESTinio's acceptor, which accepts no further
+// connection once an accept has failed, and ends the process if a client is gone before its address
+// is asked for a second time.
 //
 // RESTinio takes it for all listeners whose socket type is `client_socket`.
 #pragma once
 
+#include <chrono>
 #include <exception>
 #include <memory>
 #include <restinio/all.hpp>
@@ -14,6 +16,9 @@
 
 namespace coltsfoot::internal {
 
+// Time until connections are accepted again after a failure, as for want of descriptors.
+inline constexpr std::chrono::milliseconds accept_retry_interval{100};
+
 // RESTinio's connections ask for a limiter, which the listeners don't use.
 class unused_limiter : restinio::connection_count_limits::impl::acceptor_callback_iface_t {
  public:
@@ -44,7 +49,8 @@
         ip_blocker_(settings.ip_blocker()),
         factory_(std::move(factory)),
         strand_(context.get_executor()),
-        acceptor_(context) {}
+        acceptor_(context),
+        retry_(context) {}
 
   // Throws if the address can't be listened on.
   void open() {
@@ -65,6 +71,7 @@
   void close() {
     asio::error_code ignored;
     std::ignore = acceptor_.close(ignored);
+    retry_.cancel();
   }
 
   strand_type& get_open_close_operations_executor() { return strand_; }
@@ -74,12 +81,22 @@
     acceptor_.async_accept(asio::bind_executor(
         strand_, [self = this->shared_from_this()](const asio::error_code& error,
                                                    asio::ip::tcp::socket socket) {
-          if (error || !self->acceptor_.is_open()) return;
+          if (!self->acceptor_.is_open()) return;
+          if (error) return self->retry_later();
           self->begin_connection(std::move(socket));
           self->accept();
         }));
   }
 
+  void retry_later() {
+    budget_service_of(strand_).budget->count_failed_accept();
+    retry_.expires_after(accept_retry_interval);
+    retry_.async_wait(asio::bind_executor(
+        strand_, [self = this->shared_from_this()](const asio::error_code& error) {
+          if (!error && self->acceptor_.is_open()) self->accept();
+        }));
+  }
+
   // Without effect if the client is gone, or the connection can't be made for want of memory.
   void begin_connection(asio::ip::tcp::socket socket) {
     asio::error_code gone;
@@ -102,6 +119,7 @@
   unused_limiter limiter_;
   strand_type strand_;
   asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer retry_;
 };
 
 }  // namespace coltsfoot::internal
--- a/coltsfoot/transport/internal/rest_listener_test.cc
+++ b/coltsfoot/transport/internal/rest_listener_test.cc
@@ -1,6 +1,7 @@
 #include "coltsfoot/transport/internal/rest_listener.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <asio.hpp>
 #include <atomic>
@@ -74,6 +75,45 @@
   EXPECT_EQ(budget->stats().closed[0], 1U);
 }
 
+// The descriptors that this process may open; the former limit is back when it is destroyed.
+class descriptor_limit {
+ public:
+  explicit descriptor_limit(rlim_t count) {
+    getrlimit(RLIMIT_NOFILE, &former_);
+    rlimit limit = former_;
+    limit.rlim_cur = count;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  ~descriptor_limit() { setrlimit(RLIMIT_NOFILE, &former_); }
+  descriptor_limit(const descriptor_limit&) = delete;
+  descriptor_limit& operator=(const descriptor_limit&) = delete;
+
+ private:
+  rlimit former_{};
+};
+
+// Guards against a listener that accepts nothing any more once an accept has failed.
+TEST(rest_listener_test, connections_are_accepted_after_an_accept_has_failed) {
+  asio::io_context io;
+  const auto budget = std::make_shared<client_budget>();
+  rest_listener listener{{.clients = budget},
+                         [](const rest_request&, const rest_responder& respond) {
+                           respond({.status = 200, .close = true});
+                         }};
+  ASSERT_TRUE(listener.start());
+  asio::ip::tcp::socket client{io, asio::ip::tcp::v4()};
+  {
+    const descriptor_limit none_left{static_cast<rlim_t>(client.native_handle()) + 1};
+    client.connect({asio::ip::make_address("127.0.0.1"), listener.port()});
+    while (budget->stats().failed_accepts == 0) std::this_thread::yield();
+  }
+  send_request(client);
+  std::string text;
+  asio::error_code end;
+  asio::read(client, asio::dynamic_buffer(text), end);
+  EXPECT_TRUE(text.starts_with("HTTP/1.1 200 ")) << text;
+}
+
 // Sends most of a body, or all of it, and goes without reading.
 void connect_and_go(std::uint16_t port, bool whole) {
   asio::io_context io;
