Bound what is received and not yet read

DEPLOY.md counts such bytes as memory of the process. Nothing bounded them but the kernel: 128 KiB for each connection that isn't read at the moment.

Fix: the listeners set a receive buffer of 8 KiB, which their connections inherit, and have at most 512 connections waiting to be accepted; the peer port has 64 KiB.

--- a/coltsfoot/transport/internal/listener_acceptor.h
+++ b/coltsfoot/transport/internal/listener_acceptor.h
@@ -19,6 +19,10 @@
 // Time until connections are accepted again after a failure, as for want of descriptors.
 inline constexpr std::chrono::milliseconds accept_retry_interval{100};
 
+// Connections that the kernel holds for a listener until they are accepted. What they have sent
+// counts as memory of the process.
+inline constexpr int accept_queue_length = 512;
+
 // RESTinio's connections ask for a limiter, which the listeners don't use.
 class unused_limiter : restinio::connection_count_limits::impl::acceptor_callback_iface_t {
  public:
@@ -60,7 +64,7 @@
       acceptor_.set_option(asio::socket_base::reuse_address{true});
       acceptor_.bind(endpoint_);
       after_bind_(acceptor_);
-      acceptor_.listen(asio::socket_base::max_listen_connections);
+      acceptor_.listen(accept_queue_length);
     } catch (const std::exception&) {
       close();
       throw;
--- a/coltsfoot/transport/internal/rest_listener.cc
+++ b/coltsfoot/transport/internal/rest_listener.cc
@@ -7,6 +7,7 @@
 #include <exception>
 #include <mutex>
 #include <restinio/all.hpp>
+#include <tuple>
 #include <unordered_set>
 #include <utility>
 
@@ -18,6 +19,10 @@
 namespace coltsfoot::internal {
 namespace {
 
+// Set for each connection. While a response is due, a connection is not read: what the client sends
+// meanwhile waits in the kernel, up to about twice this size.
+constexpr int receive_buffer_bytes = 8'192;
+
 // Bounds and counts the open connections. RESTinio's own limiter is not used: it belongs to the
 // acceptor, which RESTinio destroys before the connections that refer to it.
 class connection_bound {
@@ -218,6 +223,9 @@
                                       .max_body_size(options_.max_body_bytes))
         .acceptor_post_bind_hook([this](auto& acceptor) {
           port_ = acceptor.local_endpoint().port();
+          asio::error_code ignored;
+          std::ignore = acceptor.set_option(
+              asio::socket_base::receive_buffer_size{receive_buffer_bytes}, ignored);
           budget_service_of(acceptor.get_executor()).budget = options_.clients;
         })
         .request_handler([this](const request_handle& handle) { return handle_request(handle); });
--- a/coltsfoot/transport/peer_server.cc
+++ b/coltsfoot/transport/peer_server.cc
@@ -21,6 +21,9 @@
 // How often idle connections are looked for.
 constexpr duration idle_check_interval{1'000};
 
+// Set for each connection: what is received and not yet read counts as memory of the process.
+constexpr int receive_buffer_bytes = 65'536;
+
 struct incoming_stream {
   bool is_post = false;
   bool is_peer_path = false;
@@ -60,6 +63,9 @@
     const asio::ip::tcp::endpoint endpoint{address, options_.port};
     if (!error) std::ignore = acceptor_.open(endpoint.protocol(), error);
     if (!error) std::ignore = acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
+    const asio::socket_base::receive_buffer_size receive_buffer{receive_buffer_bytes};
+    asio::error_code ignored;
+    if (!error) std::ignore = acceptor_.set_option(receive_buffer, ignored);
     if (!error) std::ignore = acceptor_.bind(endpoint, error);
     if (!error) std::ignore = acceptor_.listen(asio::socket_base::max_listen_connections, error);
     if (error) {
