Refuse complete requests beyond half of the clients' memory

Cause: requests that are complete and wait were counted and never bounded, and counted as their bodies: a job of about a thousand steps takes 12 KB on the wire and many times that in memory until the store has answered.

Fix: complete requests hold at most half of client_memory_mb together. One that would exceed it is refused at once with 503, Retry-After and "not run" before it is passed on, which is true; a single one is always taken. Job nodes add the memory of the decoded job.

--- a/coltsfoot/daemon/client_limits.cc
+++ b/coltsfoot/daemon/client_limits.cc
@@ -26,7 +26,7 @@
 constexpr duration log_interval{10'000};
 
 constexpr std::array<std::string_view, client_close_causes> cause_names{
-    "memory_receiving", "memory_sending", "connections", "refused"};
+    "memory_receiving", "memory_sending", "connections", "refused", "memory_waiting"};
 
 std::uint64_t default_bytes(std::uint64_t memory_bytes, std::size_t largest_request) {
   return std::max<std::uint64_t>(std::min(memory_bytes / memory_divisor, most_default_bytes),
@@ -90,6 +90,7 @@
 void add_client_metrics(exposition& page, const client_budget_stats& stats) {
   page.add_gauge("client_memory_bytes", static_cast<double>(stats.bytes));
   page.add_gauge("client_memory_limit_bytes", static_cast<double>(stats.limits.bytes));
+  page.add_gauge("client_waiting_bytes", static_cast<double>(stats.waiting_bytes));
   page.add_gauge("client_connections", static_cast<double>(stats.connections));
   page.add_gauge("client_connections_limit", static_cast<double>(stats.limits.connections));
   page.add_counter("client_accepts_failed_total", stats.failed_accepts);
@@ -107,9 +108,11 @@
   for (std::size_t n = 0; n < client_close_causes; ++n) {
     line += fmt::format(" {}={}", cause_names[n], stats.closed[n] - reported_[n]);
   }
-  line += fmt::format(" failed_accepts={} bytes={} byte_limit={} open_connections={} open_limit={}",
-                      stats.failed_accepts - reported_accepts_, stats.bytes, stats.limits.bytes,
-                      stats.connections, stats.limits.connections);
+  line += fmt::format(
+      " failed_accepts={} bytes={} waiting_bytes={} byte_limit={} open_connections={} "
+      "open_limit={}",
+      stats.failed_accepts - reported_accepts_, stats.bytes, stats.waiting_bytes,
+      stats.limits.bytes, stats.connections, stats.limits.connections);
   reported_ = stats.closed;
   reported_accepts_ = stats.failed_accepts;
   last_line_ = now;
--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -204,6 +204,18 @@
                                read_machine(), largest_request_bytes(max_caller_body_bytes));
 }
 
+// A refusal for want of memory.
+internal::rest_response overloaded_response(duration retry_after) {
+  return platform::encode_caller_answer({.verdict = jobs::caller_verdict::unavailable,
+                                         .retry_after = retry_after,
+                                         .detail = "too many requests wait for their responses"});
+}
+
+// Memory of a request that waits for the node, beside its body.
+std::size_t memory_of(const jobs::caller_request& request) {
+  return request.spec ? jobs::memory_of(*request.spec) : 0;
+}
+
 void log_rejected_settings(const std::string& detail) {
   log_line(severity::error, "event=settings_rejected detail=" + log_value(detail));
 }
@@ -284,16 +296,18 @@
       {.ip = caller_listen.ip,
        .port = caller_listen.port,
        .max_body_bytes = max_caller_body_bytes,
-       .clients = clients},
+       .clients = clients,
+       .refusal = overloaded_response(options.retry_after)},
       platform::encode_caller_answer({.verdict = jobs::caller_verdict::unavailable,
                                       .retry_after = options.retry_after,
                                       .detail = "the node is shutting down"}),
       [&](call_id call, const internal::rest_request& request) {
-        if (auto decoded = platform::decode_caller_request(request, call)) {
-          events.push(std::move(*decoded));
-        } else {
-          callers.answer(call, {.status = 405});
+        auto decoded = platform::decode_caller_request(request, call);
+        if (!decoded) return callers.answer(call, {.status = 405});
+        if (!request.waiting->hold_more(memory_of(*decoded))) {
+          return callers.answer(call, overloaded_response(options.retry_after));
         }
+        events.push(std::move(*decoded));
       }};
   fleet_executor executor{store, workers, peers, peer_requests, callers, events};
 
--- a/coltsfoot/jobs/job.cc
+++ b/coltsfoot/jobs/job.cc
@@ -43,6 +43,15 @@
   return std::nullopt;
 }
 
+std::size_t memory_of(const job_spec& spec) {
+  std::size_t bytes = sizeof(spec) + spec.payload.capacity();
+  for (const auto& step : spec.steps) {
+    bytes += sizeof(step) + step.depends_on.capacity() * sizeof(std::uint32_t) +
+             step.required_label.capacity() + step.data_label.capacity() + step.image.capacity();
+  }
+  return bytes;
+}
+
 bool occurrence_due(const job_spec& spec, std::uint32_t occurrence, wall_time now) {
   return !spec.scheduled() || spec.first_start + spec.interval * occurrence <= now;
 }
--- a/coltsfoot/jobs/job.h
+++ b/coltsfoot/jobs/job.h
@@ -83,6 +83,9 @@
 // Returns why the specification can't be a job, or nothing.
 std::optional<std::string> fault_of(const job_spec& spec);
 
+// Memory that a specification takes, in bytes.
+std::size_t memory_of(const job_spec& spec);
+
 // Names one task.
 struct task_ref {
   job_id job;
--- a/coltsfoot/transport/client_budget.cc
+++ b/coltsfoot/transport/client_budget.cc
@@ -18,6 +18,9 @@
     "\r\n"
     "not run: the server closes incomplete requests because it is overloaded";
 
+// Complete requests that wait take at most the memory for clients, divided by this.
+constexpr std::size_t kind_divisor = 2;
+
 // Connections that are being closed may hold descriptors for one in this many connections allowed.
 constexpr std::size_t closing_share = 4;
 
@@ -43,6 +46,7 @@
 client_budget_stats client_budget::stats() const {
   const std::lock_guard lock{mutex_};
   return {.bytes = bytes_,
+          .waiting_bytes = waiting_bytes_,
           .connections = connections_,
           .limits = limits_,
           .closed = closed_,
@@ -92,6 +96,13 @@
   return true;
 }
 
+// One request at least is admitted, so that each that is within the listener's limits can be
+// served.
+bool client_budget::admit_waiting(std::size_t bytes) const {
+  const auto share = limits_.bytes / kind_divisor;
+  return waiting_bytes_ == 0 || (bytes <= share && waiting_bytes_ <= share - bytes);
+}
+
 client_account* client_budget::oldest(std::initializer_list<phase> candidates) const {
   client_account* found = nullptr;
   for (const auto phase : candidates) {
@@ -145,6 +156,7 @@
   const std::lock_guard lock{budget_->mutex_};
   budget_->retire(*this);
   budget_->change_bytes(*this, 0);
+  budget_->waiting_bytes_ -= handled_bytes_;
 }
 
 client_budget::phase client_account::phase() const {
@@ -162,16 +174,37 @@
   budget_->enforce_bytes();
 }
 
-bool client_account::begin_handling(std::size_t bytes) {
+begin_verdict client_account::begin_handling(std::size_t bytes) {
   const std::lock_guard lock{budget_->mutex_};
-  if (closed_) return false;
+  if (closed_) return begin_verdict::closed;
+  const bool admitted = budget_->admit_waiting(bytes);
+  if (!admitted) {
+    budget_->count(client_close_cause::memory_waiting);
+    bytes = 0;
+  }
   receives_ = false;
   ++handled_requests_;
   budget_->change_bytes(*this, bytes_ - received_bytes_ + bytes);
   received_bytes_ = 0;
   handled_bytes_ += bytes;
+  budget_->waiting_bytes_ += bytes;
   budget_->move_to_phase(*this);
   budget_->enforce_bytes();
+  return admitted ? begin_verdict::accepted : begin_verdict::refused;
+}
+
+bool client_account::hold_more(std::size_t bytes) {
+  const std::lock_guard lock{budget_->mutex_};
+  // What the request holds already must not stand in its own way.
+  const bool alone = budget_->waiting_bytes_ == handled_bytes_;
+  if (!alone && !budget_->admit_waiting(bytes)) {
+    budget_->count(client_close_cause::memory_waiting);
+    return false;
+  }
+  budget_->change_bytes(*this, bytes_ + bytes);
+  handled_bytes_ += bytes;
+  budget_->waiting_bytes_ += bytes;
+  budget_->enforce_bytes();
   return true;
 }
 
@@ -179,6 +212,7 @@
   const std::lock_guard lock{budget_->mutex_};
   --handled_requests_;
   handled_bytes_ -= request_bytes;
+  budget_->waiting_bytes_ -= request_bytes;
   ++unsent_responses_;
   unsent_bytes_ += response_bytes;
   budget_->change_bytes(*this, bytes_ - request_bytes + response_bytes);
--- a/coltsfoot/transport/client_budget.h
+++ b/coltsfoot/transport/client_budget.h
@@ -1,7 +1,7 @@
-// Bounds what clients hold of a process that they may never complete: memory of incomplete requests
-// and unread responses, and open connections. One budget is shared by all HTTP listeners of the
-// process. When a limit is reached, the connections that have been in their phase for longest are
-// closed. Requests that are complete are never closed.
+// Bounds what clients hold of a process: memory of requests and unread responses, and open
+// connections. One budget is shared by all HTTP listeners of the process. When a limit is reached,
+// connections that are idle, incomplete or unread are closed. Requests that are complete are never
+// closed: those that would take more than their share of the memory are refused at once.
 //
 //   auto clients = std::make_shared<client_budget>(client_limits{.bytes = 40 << 20});
 //   http_server server{{.clients = clients}, ...};
@@ -16,6 +16,7 @@
 #include <list>
 #include <memory>
 #include <mutex>
+#include <utility>
 
 namespace coltsfoot {
 
@@ -29,12 +30,14 @@
   memory_receiving,  // an incomplete request, because of the memory
   memory_sending,    // a response that is not read, because of the memory
   connections,       // idle or incomplete, in favour of a new connection
-  refused            // a new one, while all others wait for their response or are being closed
+  refused,           // a new one, while all others wait for their response or are being closed
+  memory_waiting     // after a refusal: the complete requests that wait hold their share
 };
-inline constexpr std::size_t client_close_causes = 4;
+inline constexpr std::size_t client_close_causes = 5;
 
 struct client_budget_stats {
-  std::size_t bytes = 0;  // of connections that are being closed too
+  std::size_t bytes = 0;          // of connections that are being closed too
+  std::size_t waiting_bytes = 0;  // part of `bytes`, of complete requests
   std::size_t connections = 0;
   client_limits limits;
   std::array<std::uint64_t, client_close_causes> closed{};  // since the start, by cause
@@ -45,6 +48,12 @@
 // of 4 KiB, the socket's state in the reactor, and the account.
 inline constexpr std::size_t client_connection_bytes = 8'192;
 
+enum class begin_verdict {
+  accepted,
+  closed,  // the budget has closed the connection: the request must not run
+  refused  // for want of memory: it must be refused
+};
+
 class client_account;
 
 // All member functions may be called from any thread.
@@ -71,6 +80,7 @@
   void change_bytes(client_account& account, std::size_t bytes);
   void enforce_bytes();
   bool admit_connection();
+  bool admit_waiting(std::size_t bytes) const;
   client_account* oldest(std::initializer_list<phase> candidates) const;
   void close(client_account& account, client_close_cause cause);
   void retire(client_account& account);
@@ -82,6 +92,7 @@
   std::uint64_t last_change_ = 0;  // orders the accounts of different phases
   std::size_t bytes_ = 0;
   std::size_t retired_bytes_ = 0;  // part of `bytes_`, of accounts that are closed
+  std::size_t waiting_bytes_ = 0;  // part of `bytes_`, of complete requests
   std::size_t connections_ = 0;    // that are not closed
   std::size_t closing_ = 0;        // closed by the budget, and their descriptors are still open
   std::array<std::uint64_t, client_close_causes> closed_{};
@@ -101,9 +112,11 @@
 
   // An incomplete request holds `bytes`.
   void receive(std::size_t bytes);
-  // A request of `bytes` is complete. False if the account was closed before: the request must not
-  // run, since the client may have been told so.
-  [[nodiscard]] bool begin_handling(std::size_t bytes);
+  // A request of `bytes` is complete. A refused one counts as handled, with no bytes.
+  [[nodiscard]] begin_verdict begin_handling(std::size_t bytes);
+  // A request that is handled takes `bytes` more, for example in decoded form. False if it must be
+  // refused; the bytes are not counted then.
+  [[nodiscard]] bool hold_more(std::size_t bytes);
   void begin_sending(std::size_t request_bytes, std::size_t response_bytes);
   void end_sending(std::size_t response_bytes);
 
@@ -137,4 +150,26 @@
   std::size_t unsent_responses_ = 0;
 };
 
+// A complete request that is handled, and what it holds until it is answered.
+class waiting_request {
+ public:
+  waiting_request(std::shared_ptr<client_account> account, std::size_t bytes)
+      : account_(std::move(account)), bytes_(bytes) {}
+
+  // As `client_account::hold_more`.
+  [[nodiscard]] bool hold_more(std::size_t bytes) {
+    if (!account_->hold_more(bytes)) return false;
+    bytes_ += bytes;
+    return true;
+  }
+  void begin_sending(std::size_t response_bytes) {
+    account_->begin_sending(bytes_, response_bytes);
+  }
+  void end_sending(std::size_t response_bytes) { account_->end_sending(response_bytes); }
+
+ private:
+  std::shared_ptr<client_account> account_;
+  std::atomic<std::size_t> bytes_;
+};
+
 }  // namespace coltsfoot
--- a/coltsfoot/transport/client_budget_test.cc
+++ b/coltsfoot/transport/client_budget_test.cc
@@ -52,14 +52,14 @@
   connection oldest{budget};
   connection newest{budget};
   complete.account().receive(body);
-  ASSERT_TRUE(complete.account().begin_handling(body));
+  ASSERT_EQ(complete.account().begin_handling(body), begin_verdict::accepted);
   oldest.account().receive(1);
   newest.account().receive(2 * body);
   oldest.account().receive(2 * body);  // the last to grow, but the first to begin
   EXPECT_FALSE(complete.account().closed());
   EXPECT_TRUE(oldest.account().closed());
   EXPECT_FALSE(newest.account().closed());
-  EXPECT_FALSE(oldest.account().begin_handling(2 * body));
+  EXPECT_EQ(oldest.account().begin_handling(2 * body), begin_verdict::closed);
   const auto answer = oldest.received();
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
   EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
@@ -73,7 +73,7 @@
   const auto budget = budget_for(3, 10);
   connection unread{budget};
   connection receives{budget};
-  ASSERT_TRUE(unread.account().begin_handling(1));
+  ASSERT_EQ(unread.account().begin_handling(1), begin_verdict::accepted);
   unread.account().begin_sending(1, 2 * body);
   receives.account().receive(2 * body);
   EXPECT_TRUE(unread.account().closed());
@@ -86,11 +86,11 @@
   const auto budget = budget_for(10, 2);
   connection works{budget};
   connection idle{budget};
-  ASSERT_TRUE(works.account().begin_handling(1));
+  ASSERT_EQ(works.account().begin_handling(1), begin_verdict::accepted);
   connection next{budget};
   EXPECT_FALSE(next.refused());
   EXPECT_TRUE(idle.account().closed());
-  ASSERT_TRUE(next.account().begin_handling(1));
+  ASSERT_EQ(next.account().begin_handling(1), begin_verdict::accepted);
   const connection refused{budget};
   EXPECT_TRUE(refused.refused());
   EXPECT_TRUE(refused.received().starts_with("HTTP/1.1 503 "));
@@ -98,6 +98,36 @@
   EXPECT_EQ(budget->stats().closed, (std::array<std::uint64_t, client_close_causes>{0, 0, 1, 1}));
 }
 
+// Guards against complete requests that wait without a bound on what they hold together, and
+// against a bound that refuses the only one.
+TEST(client_budget_test, refuses_complete_requests_beyond_their_share) {
+  const auto budget = budget_for(4, 10);
+  connection only{budget};
+  connection next{budget};
+  connection later{budget};
+  ASSERT_EQ(only.account().begin_handling(3 * body), begin_verdict::accepted);
+  EXPECT_EQ(next.account().begin_handling(body), begin_verdict::refused);
+  EXPECT_EQ(budget->stats().waiting_bytes, 3 * body);
+  only.account().begin_sending(3 * body, 1);
+  EXPECT_EQ(budget->stats().waiting_bytes, 0U);
+  EXPECT_EQ(later.account().begin_handling(body), begin_verdict::accepted);
+  EXPECT_FALSE(next.account().closed());
+  EXPECT_EQ(budget->stats().closed[static_cast<std::size_t>(client_close_cause::memory_waiting)],
+            1U);
+}
+
+// Guards against requests that are counted as their bodies although their decoded form is larger.
+TEST(client_budget_test, requests_that_grow_while_they_are_handled_are_counted) {
+  const auto budget = budget_for(4, 10);
+  connection first{budget};
+  connection second{budget};
+  ASSERT_EQ(first.account().begin_handling(1'000), begin_verdict::accepted);
+  EXPECT_TRUE(first.account().hold_more(2 * body));
+  ASSERT_EQ(second.account().begin_handling(1'000), begin_verdict::accepted);
+  EXPECT_FALSE(second.account().hold_more(body));
+  EXPECT_EQ(budget->stats().waiting_bytes, 2 * body + 2'000);
+}
+
 // Guards against use that stays counted once it has ended, and against a reload without effect.
 TEST(client_budget_test, counts_what_is_held_and_enforces_new_limits) {
   const auto budget = budget_for(10, 10);
@@ -105,7 +135,7 @@
     connection first{budget};
     connection second{budget};
     first.account().receive(2 * body);
-    ASSERT_TRUE(second.account().begin_handling(body));
+    ASSERT_EQ(second.account().begin_handling(body), begin_verdict::accepted);
     second.account().begin_sending(body, 3 * body);
     second.account().end_sending(3 * body);
     EXPECT_EQ(budget->stats().bytes, 2 * body + 2 * client_connection_bytes);
--- a/coltsfoot/transport/http_server.cc
+++ b/coltsfoot/transport/http_server.cc
@@ -330,7 +330,11 @@
             .max_connections = options_.max_connections,
             .idle_timeout = options_.idle_timeout,
             .answer_timeout = options_.longest_deadline + duration{60'000},
-            .clients = options_.clients},
+            .clients = options_.clients,
+            .refusal = refusal_response({.reason = refusal_reason::overloaded,
+                                         .executed = execution::not_run,
+                                         .retry_after = options_.retry_after,
+                                         .detail = "too many requests wait for their answers"})},
         [this, api](rest_request request, const rest_responder& respond) {
           serve(api, std::move(request), respond);
         });
--- a/coltsfoot/transport/internal/open_requests.h
+++ b/coltsfoot/transport/internal/open_requests.h
@@ -15,8 +15,7 @@
 
 struct open_request {
   restinio::request_handle_t handle;
-  std::shared_ptr<client_account> account;  // of the connection
-  std::size_t bytes = 0;                    // that the request holds
+  std::shared_ptr<waiting_request> waiting;
 };
 
 // A request refers to its connection, which belongs to the server: responders name a request by its
--- a/coltsfoot/transport/internal/rest_listener.cc
+++ b/coltsfoot/transport/internal/rest_listener.cc
@@ -134,7 +134,7 @@
 void respond_to(const open_request& request, rest_response response) {
   const auto& handle = request.handle;
   const auto bytes = bytes_of(response);
-  request.account->begin_sending(request.bytes, bytes);
+  request.waiting->begin_sending(bytes);
   if (response.drop) return drop_connection(handle);
   if (response.announced_length > 0) {
     auto builder =
@@ -149,10 +149,10 @@
   add_headers(builder, response.headers);
   if (response.close) builder.connection_close();
   builder.set_body(std::move(response.body));
-  builder.done([kept = std::move(response.until_written), account = request.account,
+  builder.done([kept = std::move(response.until_written), waiting = request.waiting,
                 bytes](const auto&) mutable {
     kept.reset();
-    account->end_sending(bytes);
+    waiting->end_sending(bytes);
   });
 }
 
@@ -172,6 +172,7 @@
   impl(rest_listener_options options, rest_handler handler)
       : options_(std::move(options)), handler_(std::move(handler)) {
     if (!options_.clients) options_.clients = std::make_shared<client_budget>();
+    options_.refusal.close = true;
   }
   ~impl() {
     stop();
@@ -237,12 +238,20 @@
     auto* connection = current_connection();
     if (connection == nullptr) return restinio::request_rejected();
     const auto bytes = connection->request.complete_bytes;
-    if (!connection->account->begin_handling(bytes)) return restinio::request_rejected();
-    auto request = to_request(handle, std::move(connection->request.complete_body));
+    const auto verdict = connection->account->begin_handling(bytes);
+    if (verdict == begin_verdict::closed) return restinio::request_rejected();
+    auto body = std::move(connection->request.complete_body);
+    if (verdict == begin_verdict::refused) {
+      const auto refused = std::make_shared<waiting_request>(connection->account, 0);
+      respond_to({.handle = handle, .waiting = refused}, options_.refusal);
+      return restinio::request_accepted();
+    }
+    const auto waiting = std::make_shared<waiting_request>(connection->account, bytes);
+    auto request = to_request(handle, std::move(body));
+    request.waiting = waiting;
     received_body_bytes_ += request.body.size();
-    auto open = std::make_shared<open_answer>(
-        open_requests_,
-        open_request{.handle = handle, .account = connection->account, .bytes = bytes});
+    auto open = std::make_shared<open_answer>(open_requests_,
+                                              open_request{.handle = handle, .waiting = waiting});
     handler_(std::move(request), [open, sent = sent_body_bytes_](rest_response response) {
       const auto answered = open->take();
       if (!answered.handle) return;
@@ -280,6 +289,14 @@
   return impl_->stats();
 }
 
+rest_response not_run_response() {
+  return {.status = 503,
+          .headers = {{.name = "Retry-After", .value = "1"},
+                      {.name = "Content-Type", .value = "text/plain"}},
+          .body = "not run: too many requests wait for their responses",
+          .close = true};
+}
+
 const std::string* rest_request::header(std::string_view name) const {
   const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto& header) {
     return equals_ignoring_case(header.name, name);
--- a/coltsfoot/transport/internal/rest_listener.h
+++ b/coltsfoot/transport/internal/rest_listener.h
@@ -28,6 +28,7 @@
   std::string target;
   std::vector<http_header> headers;
   std::string body;
+  std::shared_ptr<waiting_request> waiting;  // what it counts as until it is answered
 
   // Returns the value of the first header of this name (case ignored), or null.
   const std::string* header(std::string_view name) const;
@@ -45,6 +46,9 @@
   std::shared_ptr<void> until_written;
 };
 
+// Tells a client that its request was not run for want of memory, and when to come back.
+rest_response not_run_response();
+
 // Answers one request; may be called from any thread, but not while the listener is being
 // destroyed. Later calls have no effect, nor has one after the listener's end.
 using rest_responder = std::function<void(rest_response)>;
@@ -64,6 +68,8 @@
   duration idle_timeout{60'000};
   duration answer_timeout{600'000};        // the connection is closed if there is no answer by then
   std::shared_ptr<client_budget> clients;  // shared with other listeners; null: no limits
+  // To complete requests that the budget has no memory for. The connection is closed after it.
+  rest_response refusal = not_run_response();
 };
 
 // Counts since the start.
--- a/coltsfoot/transport/internal/rest_listener_test.cc
+++ b/coltsfoot/transport/internal/rest_listener_test.cc
@@ -75,6 +75,37 @@
   EXPECT_EQ(budget->stats().closed[0], 1U);
 }
 
+// Guards against complete requests that wait without a bound, and against a refused one that runs.
+TEST(rest_listener_test, a_complete_request_over_the_budget_is_refused) {
+  asio::io_context io;
+  std::atomic<int> handled{0};
+  std::promise<rest_responder> received;
+  const auto budget = std::make_shared<client_budget>(client_limits{.bytes = 200'000});
+  rest_listener listener{{.clients = budget},
+                         [&](const rest_request&, const rest_responder& respond) {
+                           if (++handled == 1) received.set_value(respond);
+                         }};
+  ASSERT_TRUE(listener.start());
+  const auto request =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n" + std::string(70'000, 'x');
+  auto first = connect_to(io, listener.port());
+  asio::write(first, asio::buffer(request));
+  auto respond = received.get_future().get();
+  auto second = connect_to(io, listener.port());
+  asio::write(second, asio::buffer(request));
+  std::string text;
+  asio::error_code end;
+  asio::read(second, asio::dynamic_buffer(text), end);
+  EXPECT_TRUE(text.starts_with("HTTP/1.1 503 ")) << text;
+  EXPECT_NE(text.find("Retry-After: 1"), std::string::npos) << text;
+  EXPECT_NE(text.find("\r\n\r\nnot run"), std::string::npos) << text;
+  EXPECT_EQ(handled, 1);
+  respond({.status = 200, .close = true});
+  text.clear();
+  asio::read(first, asio::dynamic_buffer(text), end);
+  EXPECT_TRUE(text.starts_with("HTTP/1.1 200 ")) << text;
+}
+
 // The descriptors that this process may open; the former limit is back when it is destroyed.
 class descriptor_limit {
  public:
