Peer port: bound all that its streams hold, by the machine's memory

Cause: incomplete requests on the peer port had 64 MiB of their own, whatever the machine, counted by length and not by capacity. Requests that wait for the node and replies that aren't read were not counted. At the bound the newest request was refused, so that a crowd kept other nodes out.

Fix: the bound is an eighth of the memory and covers incomplete requests, those that wait (half of it at most) and unread replies, with 2 KiB a stream. At it, the connection that holds most of what doesn't wait loses those streams, as refused. The largest message between job nodes is 1 MiB, four records of the store.

--- a/coltsfoot/daemon/client_limits.cc
+++ b/coltsfoot/daemon/client_limits.cc
@@ -23,6 +23,9 @@
 // The HTTP parser accepts headers of up to 80 KiB; as strings they take at most twice that.
 constexpr std::size_t largest_header_bytes = 163'840;
 
+// Of the memory, for the peer port.
+constexpr std::uint64_t peer_memory_divisor = 8;
+
 constexpr duration log_interval{10'000};
 
 constexpr std::array<std::string_view, client_close_causes> cause_names{
@@ -40,6 +43,10 @@
   return std::clamp(free / 2, least_default_connections, most);
 }
 
+std::uint64_t memory_of(const client_limit_settings& settings, const machine_size& machine) {
+  return settings.memory_mb > 0 ? settings.memory_mb * mib : machine.memory_bytes;
+}
+
 }  // namespace
 
 machine_size read_machine() {
@@ -57,7 +64,7 @@
 tl::expected<client_limits, std::string> resolve_client_limits(
     const client_limit_settings& settings, const machine_size& machine,
     std::size_t largest_request) {
-  const auto memory = settings.memory_mb > 0 ? settings.memory_mb * mib : machine.memory_bytes;
+  const auto memory = memory_of(settings, machine);
   const auto bytes = settings.client_memory_mb > 0 ? settings.client_memory_mb * mib
                                                    : default_bytes(memory, largest_request);
   if (bytes < largest_request) {
@@ -87,6 +94,13 @@
   return client_limits{.bytes = bytes, .connections = connections};
 }
 
+peer_limits resolve_peer_limits(const client_limit_settings& settings, const machine_size& machine,
+                                std::size_t largest_request) {
+  const auto memory =
+      std::min(memory_of(settings, machine) / peer_memory_divisor, most_default_bytes);
+  return {.bytes = std::max<std::uint64_t>(memory, 2 * largest_request)};
+}
+
 void add_client_metrics(exposition& page, const client_budget_stats& stats) {
   page.add_gauge("client_memory_bytes", static_cast<double>(stats.bytes));
   page.add_gauge("client_memory_limit_bytes", static_cast<double>(stats.limits.bytes));
--- a/coltsfoot/daemon/daemon.cc
+++ b/coltsfoot/daemon/daemon.cc
@@ -136,13 +136,16 @@
   return result.has_value();
 }
 
+client_limit_settings limit_settings_of(const node_settings& settings) {
+  return {.memory_mb = settings.memory_mb,
+          .file_descriptors = settings.file_descriptors,
+          .client_memory_mb = settings.client_memory_mb,
+          .client_connections = settings.client_connections};
+}
+
 tl::expected<client_limits, std::string> limits_of(const node_settings& settings) {
   return resolve_client_limits(
-      {.memory_mb = settings.memory_mb,
-       .file_descriptors = settings.file_descriptors,
-       .client_memory_mb = settings.client_memory_mb,
-       .client_connections = settings.client_connections},
-      read_machine(),
+      limit_settings_of(settings), read_machine(),
       largest_request_bytes(http_server::listener_body_bytes(settings.max_body_bytes)));
 }
 
@@ -236,10 +239,14 @@
   http_backend backends{backend_client, sink};
   peer_client peers{{}, sink};
   const auto peer_listen = split_address(settings.peer_address);
+  const auto max_peer_body_bytes = settings.max_body_bytes * 2;
+  const auto peer_bounds =
+      resolve_peer_limits(limit_settings_of(settings), read_machine(), max_peer_body_bytes);
   peer_server peer_requests{
       {.address = peer_listen.ip,
        .port = peer_listen.port,
-       .max_body_bytes = settings.max_body_bytes * 2},
+       .max_body_bytes = max_peer_body_bytes,
+       .max_buffered_bytes = peer_bounds.bytes},
       [&events](call_id call, peer_request request) {
         events.push(peer_request_received{.call = call, .request = std::move(request)});
       },
--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -44,6 +44,9 @@
 
 constexpr std::size_t max_caller_body_bytes = std::size_t{512} * 1024;
 
+// Other nodes pass on records of the store.
+constexpr std::size_t max_peer_body_bytes = std::size_t{1} * 1024 * 1024;
+
 // Part of the shutdown grace period that is reserved for closing the sockets.
 constexpr duration socket_close_margin{1'500};
 
@@ -196,12 +199,16 @@
   return signals;
 }
 
+client_limit_settings limit_settings_of(const fleet_settings& settings) {
+  return {.memory_mb = settings.memory_mb,
+          .file_descriptors = settings.file_descriptors,
+          .client_memory_mb = settings.client_memory_mb,
+          .client_connections = settings.client_connections};
+}
+
 tl::expected<client_limits, std::string> limits_of(const fleet_settings& settings) {
-  return resolve_client_limits({.memory_mb = settings.memory_mb,
-                                .file_descriptors = settings.file_descriptors,
-                                .client_memory_mb = settings.client_memory_mb,
-                                .client_connections = settings.client_connections},
-                               read_machine(), largest_request_bytes(max_caller_body_bytes));
+  return resolve_client_limits(limit_settings_of(settings), read_machine(),
+                               largest_request_bytes(max_caller_body_bytes));
 }
 
 // A refusal for want of memory.
@@ -284,8 +291,13 @@
   platform::worker_client workers{worker_http};
   peer_client peers{{.connect_timeout = duration{300}, .longest_backoff = duration{200}}, sink};
   const auto peer_listen = to_listen_address(settings.peer_address);
+  const auto peer_bounds =
+      resolve_peer_limits(limit_settings_of(settings), read_machine(), max_peer_body_bytes);
   peer_server peer_requests{
-      {.address = peer_listen.ip, .port = peer_listen.port},
+      {.address = peer_listen.ip,
+       .port = peer_listen.port,
+       .max_body_bytes = max_peer_body_bytes,
+       .max_buffered_bytes = peer_bounds.bytes},
       [&events](call_id call, peer_request request) {
         events.push(jobs::peer_asked{.call = call, .request = std::move(request)});
       },
--- a/coltsfoot/transport/peer_server.cc
+++ b/coltsfoot/transport/peer_server.cc
@@ -21,6 +21,12 @@
 // How often idle connections are looked for.
 constexpr duration idle_check_interval{1'000};
 
+// Memory of a stream beside its body: the library's and the entries here.
+constexpr std::size_t stream_bytes = 2'048;
+
+// Requests that wait for their replies take at most the bytes that may be held, divided by this.
+constexpr std::size_t waiting_divisor = 2;
+
 // Set for each connection: what is received and not yet read counts as memory of the process.
 constexpr int receive_buffer_bytes = 65'536;
 
@@ -29,8 +35,10 @@
   bool is_peer_path = false;
   std::string body;
   call_id call = 0;        // 0 until the request was passed to the handler
+  bool waits = false;      // for the handler's reply
   bool discarded = false;  // answered or reset before its end
   std::size_t skipped_bytes = 0;
+  std::size_t held_bytes = 0;
 };
 
 struct server_connection {
@@ -38,6 +46,7 @@
   std::string remote;
   std::unordered_map<std::int32_t, incoming_stream> streams;
   std::size_t calls_in_progress = 0;
+  std::size_t revocable_bytes = 0;  // of streams that don't wait for the handler
   bool going_away = false;
 };
 
@@ -100,15 +109,17 @@
   void reply(call_id call, const peer_reply& reply) {
     auto body = encode_msgpack(reply);
     asio::post(context_, [this, call, body = std::move(body)]() mutable {
-      end_call(call, [&](http2_connection& http2, std::int32_t stream) {
+      const auto bytes = stream_bytes + body.size();
+      end_call(call, bytes, [&](http2_connection& http2, std::int32_t stream) {
         http2.submit_response(stream, 200, std::move(body));
       });
+      make_room();
     });
   }
 
   void refuse(call_id call) {
     asio::post(context_, [this, call] {
-      end_call(call, [this](http2_connection& http2, std::int32_t stream) {
+      end_call(call, stream_bytes, [this](http2_connection& http2, std::int32_t stream) {
         http2.reset_stream(stream, NGHTTP2_REFUSED_STREAM);
         count(&peer_server_stats::refused);
       });
@@ -200,7 +211,7 @@
     return {
         .on_header =
             [this, id](std::int32_t stream, std::string_view name, std::string_view value) {
-              auto& incoming = connections_.at(id).streams[stream];
+              auto& incoming = stream_of(connections_.at(id), stream);
               if (name == ":method") incoming.is_post = value == "POST";
               if (name == ":path") incoming.is_peer_path = value == "/peer";
             },
@@ -217,23 +228,61 @@
 
   void add_data(std::uint64_t id, std::int32_t stream, std::string_view bytes) {
     auto& connection = connections_.at(id);
-    auto& incoming = connection.streams[stream];
+    auto& incoming = stream_of(connection, stream);
     if (incoming.discarded) return skip_data(connection, stream, bytes.size());
     if (incoming.body.size() + bytes.size() > options_.max_body_bytes) {
-      discard(incoming);
+      discard(connection, incoming);
       count(&peer_server_stats::oversized);
       write_log(severity::error,
                 "event=peer_request_oversized remote=" + log_value(connection.remote));
       return connection.http2->submit_response(stream, 413, {});
     }
-    if (buffered_bytes_ + bytes.size() > options_.max_buffered_bytes) {
-      discard(incoming);
+    incoming.body.append(bytes);
+    hold(connection, incoming, stream_bytes + incoming.body.capacity());
+    make_room();
+  }
+
+  incoming_stream& stream_of(server_connection& connection, std::int32_t stream) {
+    const auto [place, is_new] = connection.streams.try_emplace(stream);
+    if (is_new) hold(connection, place->second, stream_bytes);
+    return place->second;
+  }
+
+  void hold(server_connection& connection, incoming_stream& incoming, std::size_t bytes) {
+    held_bytes_ += bytes - incoming.held_bytes;
+    auto& kind = incoming.waits ? waiting_bytes_ : connection.revocable_bytes;
+    kind += bytes - incoming.held_bytes;
+    incoming.held_bytes = bytes;
+  }
+
+  // Moves a stream to those that wait for the handler, or back.
+  void set_waiting(server_connection& connection, incoming_stream& incoming, bool waits) {
+    const auto bytes = incoming.held_bytes;
+    hold(connection, incoming, 0);
+    incoming.waits = waits;
+    hold(connection, incoming, bytes);
+  }
+
+  // While too much is held, resets what the connection that holds most of it has not completed or
+  // not read.
+  void make_room() {
+    while (held_bytes_ > options_.max_buffered_bytes) {
+      const auto largest = std::max_element(
+          connections_.begin(), connections_.end(), [](const auto& a, const auto& b) {
+            return a.second.revocable_bytes < b.second.revocable_bytes;
+          });
+      if (largest == connections_.end() || largest->second.revocable_bytes == 0) return;
+      reset_revocable(largest->second);
+    }
+  }
+
+  void reset_revocable(server_connection& connection) {
+    for (auto& [stream, incoming] : connection.streams) {
+      if (incoming.waits || incoming.held_bytes == 0) continue;
+      discard(connection, incoming);
       count(&peer_server_stats::refused);
       connection.http2->reset_stream(stream, NGHTTP2_REFUSED_STREAM);
-      return;
     }
-    buffered_bytes_ += bytes.size();
-    incoming.body.append(bytes);
   }
 
   // A reset would drop the answer that is under way, so the rest of an answered request's body is
@@ -246,26 +295,30 @@
     connection.http2->reset_stream(stream, NGHTTP2_ENHANCE_YOUR_CALM);
   }
 
-  void discard(incoming_stream& incoming) {
+  void discard(server_connection& connection, incoming_stream& incoming) {
     incoming.discarded = true;
-    release_body(incoming);
-  }
-
-  void release_body(incoming_stream& incoming) {
-    buffered_bytes_ -= incoming.body.size();
     incoming.body = {};
+    hold(connection, incoming, 0);
   }
 
   void end_of_request(std::uint64_t id, std::int32_t stream) {
     auto& connection = connections_.at(id);
-    auto& incoming = connection.streams[stream];
+    auto& incoming = stream_of(connection, stream);
     if (incoming.discarded || incoming.call != 0) return;
     if (!incoming.is_post || !incoming.is_peer_path) {
       return reject(connection, stream, 404, "unknown method or path");
     }
-    auto request = internal::decode_bounded_msgpack<peer_request>(incoming.body);
-    release_body(incoming);
+    const auto bytes = stream_bytes + incoming.body.size();
+    const auto most_waiting = options_.max_buffered_bytes / waiting_divisor;
+    if (waiting_bytes_ > 0 && waiting_bytes_ + bytes > most_waiting) {
+      discard(connection, incoming);
+      count(&peer_server_stats::refused);
+      return connection.http2->reset_stream(stream, NGHTTP2_REFUSED_STREAM);
+    }
+    auto request = internal::decode_bounded_msgpack<peer_request>(std::exchange(incoming.body, {}));
     if (!request) return reject(connection, stream, 400, request.error().message);
+    hold(connection, incoming, bytes);
+    set_waiting(connection, incoming, true);
     const auto call = ++last_call_;
     incoming.call = call;
     calls_.emplace(call, open_call{.connection = id, .stream = stream});
@@ -277,7 +330,7 @@
 
   void reject(server_connection& connection, std::int32_t stream, int status,
               const std::string& why) {
-    discard(connection.streams[stream]);
+    discard(connection, stream_of(connection, stream));
     count(&peer_server_stats::malformed);
     write_log(severity::error,
               "event=peer_request_malformed remote=" + log_value(connection.remote) +
@@ -285,14 +338,18 @@
     connection.http2->submit_response(stream, status, {});
   }
 
+  // `bytes`: what the stream holds from now on.
   template <typename Function>
-  void end_call(call_id call, Function&& answer) {
+  void end_call(call_id call, std::size_t bytes, Function&& answer) {
     const auto found = calls_.find(call);
     if (found == calls_.end()) return;
     const auto where = found->second;
     forget_call(call);
     const auto connection = connections_.find(where.connection);
     if (connection == connections_.end()) return;
+    auto& incoming = stream_of(connection->second, where.stream);
+    set_waiting(connection->second, incoming, false);
+    hold(connection->second, incoming, bytes);
     answer(*connection->second.http2, where.stream);
   }
 
@@ -306,12 +363,12 @@
   }
 
   void drop_stream(std::uint64_t id, std::int32_t stream) {
-    auto& streams = connections_.at(id).streams;
-    const auto found = streams.find(stream);
-    if (found == streams.end()) return;
-    release_body(found->second);
+    auto& connection = connections_.at(id);
+    const auto found = connection.streams.find(stream);
+    if (found == connection.streams.end()) return;
+    hold(connection, found->second, 0);
     forget_call(found->second.call);
-    streams.erase(found);
+    connection.streams.erase(found);
   }
 
   void drop_connection(std::uint64_t id, const std::string& reason) {
@@ -323,7 +380,7 @@
                     " error=" + log_value(reason));
     }
     for (auto& [stream, incoming] : found->second.streams) {
-      release_body(incoming);
+      hold(found->second, incoming, 0);
       forget_call(incoming.call);
     }
     // The connection may be on the stack; it is kept until its pending operations have ended.
@@ -363,7 +420,8 @@
   std::unordered_map<call_id, open_call> calls_;
   std::uint64_t last_connection_ = 0;
   call_id last_call_ = 0;
-  std::size_t buffered_bytes_ = 0;
+  std::size_t held_bytes_ = 0;     // of all streams
+  std::size_t waiting_bytes_ = 0;  // part of `held_bytes_`, of streams that wait for the handler
   bool stopping_ = false;
   std::atomic<std::uint16_t> port_{0};
   std::atomic<std::size_t> in_progress_{0};
--- a/coltsfoot/transport/peer_server.h
+++ b/coltsfoot/transport/peer_server.h
@@ -27,9 +27,9 @@
   std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;  // of one request
   std::uint32_t max_concurrent_streams = 256;                 // per connection
   std::size_t max_connections = 256;
-  std::size_t max_buffered_bytes =
-      std::size_t{64} * 1024 * 1024;  // of incomplete requests, all connections
-  duration idle_timeout{120'000};     // longer than the client's, so that the client closes first
+  // Of all streams: incomplete requests, requests that are not answered yet, and unread replies.
+  std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
+  duration idle_timeout{120'000};  // longer than the client's, so that the client closes first
 };
 
 // Counts since the start.
--- a/coltsfoot/transport/peer_server_test.cc
+++ b/coltsfoot/transport/peer_server_test.cc
@@ -160,6 +160,32 @@
   EXPECT_TRUE(wait_until([&] { return server.in_progress() == 0; }));
 }
 
+// Guards against requests that wait for the handler without a bound on what they hold, and against
+// one that is refused although it may run.
+TEST(peer_server_test, requests_beyond_the_share_of_those_that_wait_are_refused) {
+  std::mutex mutex;
+  std::vector<call_id> calls;
+  peer_server server{{.max_buffered_bytes = 100'000}, [&](call_id call, const peer_request&) {
+                       const std::scoped_lock lock{mutex};
+                       calls.push_back(call);
+                     }};
+  ASSERT_TRUE(server.start());
+  peer_client client;
+  const job_notice large{.key = "k", .value = std::string(30'000, 'x')};
+  result_box<peer_result> first;
+  result_box<peer_result> second;
+  client.send(address_of(server), large, duration{15'000}, first.callback());
+  ASSERT_TRUE(wait_until([&] { return server.in_progress() == 1; }));
+  client.send(address_of(server), large, duration{15'000}, second.callback());
+  EXPECT_EQ(second.get().error(), peer_failure::not_processed);
+  {
+    const std::scoped_lock lock{mutex};
+    ASSERT_EQ(calls.size(), 1U);
+    server.reply(calls[0], job_notice_reply{.taken = true});
+  }
+  EXPECT_TRUE(first.get());
+}
+
 // Guards against an idle connection that is kept for ever.
 TEST(peer_server_test, idle_connection_is_closed) {
   peer_server server{{.idle_timeout = duration{20}}, [](call_id, const peer_request&) {}};
