Peer port: bound the values of a message before it is decoded

Cause: a message is decoded through a document tree, in which a value of one byte takes some 64 bytes.

--- a/coltsfoot/transport/peer_server.cc
+++ b/coltsfoot/transport/peer_server.cc
@@ -27,6 +27,9 @@
 // Requests that wait for their replies take at most the bytes that may be held, divided by this.
 constexpr std::size_t waiting_divisor = 2;
 
+// Memory of a value of a decoded message, approximately, with its place in a list.
+constexpr std::size_t value_bytes = 64;
+
 // Set for each connection: what is received and not yet read counts as memory of the process.
 constexpr int receive_buffer_bytes = 65'536;
 
@@ -315,7 +318,8 @@
       count(&peer_server_stats::refused);
       return connection.http2->reset_stream(stream, NGHTTP2_REFUSED_STREAM);
     }
-    auto request = internal::decode_bounded_msgpack<peer_request>(std::exchange(incoming.body, {}));
+    auto request = internal::decode_bounded_msgpack<peer_request>(
+        std::exchange(incoming.body, {}), options_.max_buffered_bytes / value_bytes);
     if (!request) return reject(connection, stream, 400, request.error().message);
     hold(connection, incoming, bytes);
     set_waiting(connection, incoming, true);
--- a/coltsfoot/transport/peer_server_test.cc
+++ b/coltsfoot/transport/peer_server_test.cc
@@ -160,6 +160,18 @@
   EXPECT_TRUE(wait_until([&] { return server.in_progress() == 0; }));
 }
 
+// Guards against messages whose values take many times their bytes once they are decoded.
+TEST(peer_server_test, a_message_of_too_many_values_is_malformed) {
+  peer_server server{{.max_buffered_bytes = 64'000}, [&server](call_id call, const peer_request&) {
+                       server.reply(call, gossip_reply{});
+                     }};
+  ASSERT_TRUE(server.start());
+  raw_peer peer{server.port()};
+  const nlohmann::json values(2'000, nullptr);
+  EXPECT_EQ(peer.post("/peer", encode_msgpack(values)), 400);
+  EXPECT_EQ(peer.post("/peer", encode_msgpack(peer_request{gossip{}})), 200);
+}
+
 // Guards against requests that wait for the handler without a bound on what they hold, and against
 // one that is refused although it may run.
 TEST(peer_server_test, requests_beyond_the_share_of_those_that_wait_are_refused) {
