Peer port: replace the least active connection, and leave descriptors

Cause: the peer port took up to 256 connections whatever the descriptors of the process, and refused new ones beyond, so that idle clients kept nodes out.

Fix: the peer port takes half of the descriptors that client_connections leaves, 16 to 256 (256 on our machines). A new connection beyond that replaces the one on which nothing has come for longest and no request waits.

--- a/coltsfoot/daemon/client_limits.cc
+++ b/coltsfoot/daemon/client_limits.cc
@@ -25,6 +25,8 @@
 
 // Of the memory, for the peer port.
 constexpr std::uint64_t peer_memory_divisor = 8;
+constexpr std::uint64_t most_peer_connections = 256;
+constexpr std::uint64_t least_peer_connections = 16;
 
 constexpr duration log_interval{10'000};
 
@@ -47,6 +49,12 @@
   return settings.memory_mb > 0 ? settings.memory_mb * mib : machine.memory_bytes;
 }
 
+std::uint64_t descriptors_of(const client_limit_settings& settings, const machine_size& machine) {
+  return settings.file_descriptors > 0
+             ? std::min(settings.file_descriptors, machine.file_descriptors)
+             : machine.file_descriptors;
+}
+
 }  // namespace
 
 machine_size read_machine() {
@@ -75,9 +83,7 @@
     return tl::unexpected(
         fmt::format("client_memory_mb: more than the memory of {} MiB", memory / mib));
   }
-  const auto descriptors = settings.file_descriptors > 0
-                               ? std::min(settings.file_descriptors, machine.file_descriptors)
-                               : machine.file_descriptors;
+  const auto descriptors = descriptors_of(settings, machine);
   const auto connections = settings.client_connections > 0
                                ? settings.client_connections
                                : default_connections(descriptors, bytes);
@@ -95,10 +101,13 @@
 }
 
 peer_limits resolve_peer_limits(const client_limit_settings& settings, const machine_size& machine,
-                                std::size_t largest_request) {
+                                const client_limits& clients, std::size_t largest_request) {
   const auto memory =
       std::min(memory_of(settings, machine) / peer_memory_divisor, most_default_bytes);
-  return {.bytes = std::max<std::uint64_t>(memory, 2 * largest_request)};
+  const auto left = descriptors_of(settings, machine) - clients.connections;
+  return {.bytes = std::max<std::uint64_t>(memory, 2 * largest_request),
+          .connections = std::clamp((left - least_other_descriptors) / 2, least_peer_connections,
+                                    most_peer_connections)};
 }
 
 void add_client_metrics(exposition& page, const client_budget_stats& stats) {
--- a/coltsfoot/daemon/client_limits.h
+++ b/coltsfoot/daemon/client_limits.h
@@ -45,12 +45,14 @@
 // What the peer port may take, which clients that are no nodes may reach too.
 struct peer_limits {
   std::size_t bytes = 0;  // requests that are incomplete or not answered, and unread replies
+  std::size_t connections = 0;
 };
 
 // Derived from the same settings as the limits on clients, which must be valid: an eighth of the
-// memory, but two requests of the largest size at least.
+// memory, but two requests of the largest size at least; half of the descriptors that the clients
+// leave.
 peer_limits resolve_peer_limits(const client_limit_settings& settings, const machine_size& machine,
-                                std::size_t largest_request);
+                                const client_limits& clients, std::size_t largest_request);
 
 // Adds what clients use, the limits, and the connections closed.
 void add_client_metrics(exposition& page, const client_budget_stats& stats);
--- a/coltsfoot/daemon/client_limits_test.cc
+++ b/coltsfoot/daemon/client_limits_test.cc
@@ -40,6 +40,19 @@
                   .starts_with("client_connections: "));
 }
 
+// Guards against a peer port that takes the memory or the descriptors of the smallest machine.
+TEST(client_limits_test, the_peer_port_has_its_part_of_the_machine) {
+  const client_limit_settings smallest{.memory_mb = 160, .file_descriptors = 4'100};
+  const auto clients = resolve_client_limits(smallest, machine, largest);
+  ASSERT_TRUE(clients);
+  const auto peers = resolve_peer_limits(smallest, machine, *clients, mib);
+  EXPECT_EQ(peers.bytes, 20 * mib);
+  EXPECT_EQ(peers.connections, 256U);
+  const client_limit_settings few{.file_descriptors = 160, .client_connections = 40};
+  const auto low = resolve_peer_limits(few, machine, {.bytes = 8 * mib, .connections = 40}, mib);
+  EXPECT_EQ(low.connections, 28U);
+}
+
 // Guards against a line for each connection of a crowd.
 TEST(client_limits_test, closed_connections_are_logged_at_a_bounded_rate) {
   client_close_log log;
--- a/coltsfoot/daemon/daemon.cc
+++ b/coltsfoot/daemon/daemon.cc
@@ -240,12 +240,13 @@
   peer_client peers{{}, sink};
   const auto peer_listen = split_address(settings.peer_address);
   const auto max_peer_body_bytes = settings.max_body_bytes * 2;
-  const auto peer_bounds =
-      resolve_peer_limits(limit_settings_of(settings), read_machine(), max_peer_body_bytes);
+  const auto peer_bounds = resolve_peer_limits(limit_settings_of(settings), read_machine(), *limits,
+                                               max_peer_body_bytes);
   peer_server peer_requests{
       {.address = peer_listen.ip,
        .port = peer_listen.port,
        .max_body_bytes = max_peer_body_bytes,
+       .max_connections = peer_bounds.connections,
        .max_buffered_bytes = peer_bounds.bytes},
       [&events](call_id call, peer_request request) {
         events.push(peer_request_received{.call = call, .request = std::move(request)});
--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -291,12 +291,13 @@
   platform::worker_client workers{worker_http};
   peer_client peers{{.connect_timeout = duration{300}, .longest_backoff = duration{200}}, sink};
   const auto peer_listen = to_listen_address(settings.peer_address);
-  const auto peer_bounds =
-      resolve_peer_limits(limit_settings_of(settings), read_machine(), max_peer_body_bytes);
+  const auto peer_bounds = resolve_peer_limits(limit_settings_of(settings), read_machine(), *limits,
+                                               max_peer_body_bytes);
   peer_server peer_requests{
       {.address = peer_listen.ip,
        .port = peer_listen.port,
        .max_body_bytes = max_peer_body_bytes,
+       .max_connections = peer_bounds.connections,
        .max_buffered_bytes = peer_bounds.bytes},
       [&events](call_id call, peer_request request) {
         events.push(jobs::peer_asked{.call = call, .request = std::move(request)});
--- a/coltsfoot/transport/peer_server.cc
+++ b/coltsfoot/transport/peer_server.cc
@@ -191,10 +191,8 @@
   }
 
   void add_connection(asio::ip::tcp::socket socket) {
-    if (connections_.size() >= options_.max_connections) {
-      count(&peer_server_stats::rejected_connections);
-      return;  // the socket closes as it goes out of scope
-    }
+    // Without room for it, the socket closes as it goes out of scope.
+    if (connections_.size() >= options_.max_connections && !close_least_active()) return;
     count(&peer_server_stats::connections);
     asio::error_code error;
     const auto remote = socket.remote_endpoint(error);
@@ -210,6 +208,21 @@
     http2->start();
   }
 
+  // False if all connections have calls in progress.
+  bool close_least_active() {
+    count(&peer_server_stats::rejected_connections);
+    std::shared_ptr<http2_connection> least;
+    for (const auto& [id, connection] : connections_) {
+      if (connection.calls_in_progress > 0) continue;
+      if (!least || connection.http2->last_received() < least->last_received()) {
+        least = connection.http2;
+      }
+    }
+    if (!least) return false;
+    least->close("closed");
+    return true;
+  }
+
   internal::http2_handlers handlers_for(std::uint64_t id) {
     return {
         .on_header =
--- a/coltsfoot/transport/peer_server.h
+++ b/coltsfoot/transport/peer_server.h
@@ -26,7 +26,7 @@
   std::uint16_t port = 0;                                     // 0: any free port
   std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;  // of one request
   std::uint32_t max_concurrent_streams = 256;                 // per connection
-  std::size_t max_connections = 256;
+  std::size_t max_connections = 256;  // of which the least active one is closed for a new one
   // Of all streams: incomplete requests, requests that are not answered yet, and unread replies.
   std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
   duration idle_timeout{120'000};  // longer than the client's, so that the client closes first
@@ -39,7 +39,7 @@
   std::uint64_t oversized = 0;             // answered 413
   std::uint64_t refused = 0;               // reset with REFUSED_STREAM
   std::uint64_t connections = 0;           // accepted
-  std::uint64_t rejected_connections = 0;  // closed at once because of `max_connections`
+  std::uint64_t rejected_connections = 0;  // closed because of `max_connections`
   std::uint64_t received_bytes = 0;        // of the sockets
   std::uint64_t sent_bytes = 0;
 };
--- a/coltsfoot/transport/peer_server_test.cc
+++ b/coltsfoot/transport/peer_server_test.cc
@@ -160,6 +160,23 @@
   EXPECT_TRUE(wait_until([&] { return server.in_progress() == 0; }));
 }
 
+// Guards against clients that hold connections, so that other nodes can't connect.
+TEST(peer_server_test, a_new_connection_replaces_the_least_active_one) {
+  peer_server server{{.max_connections = 2}, [&server](call_id call, const peer_request&) {
+                       server.reply(call, gossip_reply{});
+                     }};
+  ASSERT_TRUE(server.start());
+  raw_peer least_active{server.port()};
+  ASSERT_EQ(least_active.post("/peer", encode_msgpack(peer_request{gossip{}})), 200);
+  raw_peer active{server.port()};
+  ASSERT_EQ(active.post("/peer", encode_msgpack(peer_request{gossip{}})), 200);
+  raw_peer next{server.port()};
+  EXPECT_EQ(next.post("/peer", encode_msgpack(peer_request{gossip{}})), 200);
+  EXPECT_EQ(active.post("/peer", encode_msgpack(peer_request{gossip{}})), 200);
+  EXPECT_EQ(least_active.post("/peer", encode_msgpack(peer_request{gossip{}})), 0);
+  EXPECT_EQ(server.stats().rejected_connections, 1U);
+}
+
 // Guards against messages whose values take many times their bytes once they are decoded.
 TEST(peer_server_test, a_message_of_too_many_values_is_malformed) {
   peer_server server{{.max_buffered_bytes = 64'000}, [&server](call_id call, const peer_request&) {
