Spare slow callers beside clients that come back

What callers saw: a caller whose request takes longer than those of a crowd that comes back as often as it is closed was always closed, since the oldest incomplete request went first.

Evidence: a_slow_caller_beside_a_crowd_that_comes_back on: closed as incomplete, both programs.

Fix, each with a test of the budget: - For memory, those that hold more than an equal part of it are closed first. - In favour of new connections, requests of which more comes after 200 ms or later go last, up to half of the connections; before them, the only connections of their sources, up to a quarter. So a proxy's callers keep three quarters whatever else there is.

--- a/coltsfoot/transport/client_budget.cc
+++ b/coltsfoot/transport/client_budget.cc
@@ -18,9 +18,13 @@
     "\r\n"
     "not run: the server closes incomplete requests because it is overloaded";
 
-// Complete requests that wait take at most the memory for clients, divided by this.
+// The part of the memory, and of the connections, that one kind of them may take: complete requests
+// that wait, and connections whose incomplete requests make progress.
 constexpr std::size_t kind_divisor = 2;
 
+// The part of the connections that may be spared as the only ones of their sources.
+constexpr std::size_t lone_divisor = 4;
+
 // Connections that are being closed may hold descriptors for one in this many connections allowed.
 constexpr std::size_t closing_share = 4;
 
@@ -37,7 +41,7 @@
   limits_ = limits;
   enforce_bytes();
   while (connections_ > limits_.connections) {
-    auto* account = oldest({idle, receiving, sending});
+    auto* account = connection_to_close();
     if (account == nullptr) return;
     close(*account, client_close_cause::connections);
   }
@@ -55,7 +59,8 @@
 
 void client_budget::move_to_phase(client_account& account) {
   const auto phase = account.phase();
-  if (!account.listed_ || phase == account.listed_phase_) return;
+  if (!account.listed_) return;
+  if (phase == account.listed_phase_ && phase != progressing) return;
   auto& to = accounts_[phase];
   to.splice(to.end(), accounts_[account.listed_phase_], account.place_);
   account.listed_phase_ = phase;
@@ -70,7 +75,7 @@
 
 void client_budget::enforce_bytes() {
   while (bytes_ - retired_bytes_ > limits_.bytes) {
-    auto* account = oldest({receiving, sending});
+    auto* account = holder_to_close();
     if (account == nullptr) return;
     close(*account, account->listed_phase_ == sending ? client_close_cause::memory_sending
                                                       : client_close_cause::memory_receiving);
@@ -87,7 +92,7 @@
     return false;
   }
   if (connections_ < limits_.connections) return true;
-  auto* account = oldest({idle, receiving, sending});
+  auto* account = connection_to_close();
   if (account == nullptr) {
     count(client_close_cause::refused);
     return false;
@@ -103,20 +108,68 @@
   return waiting_bytes_ == 0 || (bytes <= share && waiting_bytes_ <= share - bytes);
 }
 
-client_account* client_budget::oldest(std::initializer_list<phase> candidates) const {
+// Clients that come back as often as they are closed would otherwise close each request that takes
+// longer than theirs.
+client_account* client_budget::connection_to_close() const {
+  const auto any = [](const client_account&) { return true; };
+  const auto not_lone = [this](const client_account& account) { return !is_lone(account); };
+  const bool spares_progress = accounts_[progressing].size() <= limits_.connections / kind_divisor;
+  for (const account_filter& filter : {account_filter{not_lone}, account_filter{any}}) {
+    auto* slow = oldest({progressing}, filter);
+    if (slow != nullptr && !spares_progress) return slow;
+    if (auto* account = oldest({idle, receiving, sending}, filter)) return account;
+    if (slow != nullptr) return slow;
+  }
+  return nullptr;
+}
+
+// While clients hold too much, some hold more than an equal part: those that don't are kept.
+client_account* client_budget::holder_to_close() const {
+  const auto equal_part = limits_.bytes / std::max<std::size_t>(limits_.connections, 1);
+  const auto holds_more = [=](const client_account& account) {
+    return account.bytes_ > equal_part;
+  };
+  const auto any = [](const client_account&) { return true; };
+  if (auto* account = oldest({receiving, sending}, holds_more)) return account;
+  if (auto* account = oldest({progressing}, holds_more)) return account;
+  return oldest({receiving, sending, progressing}, any);
+}
+
+client_account* client_budget::oldest(std::initializer_list<phase> candidates,
+                                      const account_filter& filter) const {
   client_account* found = nullptr;
   for (const auto phase : candidates) {
-    if (accounts_[phase].empty()) continue;
-    auto* first = accounts_[phase].front();
-    if (found == nullptr || first->since_ < found->since_) found = first;
+    const auto& accounts = accounts_[phase];
+    const auto first = std::find_if(accounts.begin(), accounts.end(),
+                                    [&](const auto* account) { return filter(*account); });
+    if (first == accounts.end()) continue;
+    if (found == nullptr || (*first)->since_ < found->since_) found = *first;
   }
   return found;
 }
 
+// Whether it is the only connection of its source. Where many sources have one, that tells nothing.
+bool client_budget::is_lone(const client_account& account) const {
+  if (lone_sources_ > limits_.connections / lone_divisor) return false;
+  const auto found = connections_from_.find(account.source_);
+  return found != connections_from_.end() && found->second == 1;
+}
+
+void client_budget::count_source(const client_account& account, bool opened) {
+  if (account.source_.empty()) return;
+  auto& count = connections_from_[account.source_];
+  lone_sources_ -= count == 1 ? 1 : 0;
+  count += opened ? 1 : -1;
+  lone_sources_ += count == 1 ? 1 : 0;
+  if (count == 0) connections_from_.erase(account.source_);
+}
+
 void client_budget::close(client_account& account, client_close_cause cause) {
   count(cause);
   account.closed_ = true;
-  if (account.listed_phase_ == receiving) send_not_run(account.descriptor_);
+  const bool incomplete =
+      account.listed_phase_ == receiving || account.listed_phase_ == progressing;
+  if (incomplete) send_not_run(account.descriptor_);
   // Wakes the connection's own thread, which then closes the descriptor.
   ::shutdown(account.descriptor_, SHUT_RDWR);
   account.closing_ = true;
@@ -130,13 +183,15 @@
   account.listed_ = false;
   retired_bytes_ += account.bytes_;
   --connections_;
+  count_source(account, false);
 }
 
 std::shared_ptr<client_account> client_account::open(std::shared_ptr<client_budget> budget,
-                                                     int descriptor) {
+                                                     int descriptor, std::string source) {
   auto& b = *budget;
   // The constructor is private.
-  std::shared_ptr<client_account> account{new client_account{std::move(budget), descriptor}};
+  std::shared_ptr<client_account> account{
+      new client_account{std::move(budget), descriptor, std::move(source)}};
   const std::lock_guard lock{b.mutex_};
   if (!b.admit_connection()) {
     send_not_run(descriptor);
@@ -147,6 +202,7 @@
   account->listed_ = true;
   account->since_ = ++b.last_change_;
   ++b.connections_;
+  b.count_source(*account, true);
   b.change_bytes(*account, client_connection_bytes);
   b.enforce_bytes();
   return account;
@@ -162,12 +218,18 @@
 client_budget::phase client_account::phase() const {
   if (handled_requests_ > 0) return client_budget::handling;
   if (unsent_responses_ > 0) return client_budget::sending;
-  return receives_ ? client_budget::receiving : client_budget::idle;
+  if (!receives_) return client_budget::idle;
+  return progresses_ ? client_budget::progressing : client_budget::receiving;
 }
 
-void client_account::receive(std::size_t bytes) {
+void client_account::receive(std::size_t bytes, std::chrono::steady_clock::time_point now) {
   const std::lock_guard lock{budget_->mutex_};
-  receives_ = true;
+  if (!std::exchange(receives_, true)) {
+    progresses_ = false;
+  } else if (now - last_received_ >= client_progress_interval) {
+    progresses_ = true;
+  }
+  last_received_ = now;
   budget_->change_bytes(*this, bytes_ - received_bytes_ + bytes);
   received_bytes_ = bytes;
   budget_->move_to_phase(*this);
--- a/coltsfoot/transport/client_budget.h
+++ b/coltsfoot/transport/client_budget.h
@@ -10,12 +10,16 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <list>
 #include <memory>
 #include <mutex>
+#include <string>
+#include <unordered_map>
 #include <utility>
 
 namespace coltsfoot {
@@ -48,6 +52,9 @@
 // of 4 KiB, the socket's state in the reactor, and the account.
 inline constexpr std::size_t client_connection_bytes = 8'192;
 
+// An incomplete request of which more comes this much later is making progress, if slowly.
+inline constexpr std::chrono::milliseconds client_progress_interval{200};
+
 enum class begin_verdict {
   accepted,
   closed,  // the budget has closed the connection: the request must not run
@@ -71,8 +78,9 @@
 
  private:
   friend class client_account;
-  // In the order of how long they have been in the phase. Accounts that are closed are in no list.
-  enum phase : std::size_t { idle, receiving, handling, sending, phases };
+  // In the order of how long they have been in the phase; `progressing` in that of how long nothing
+  // has come. Accounts that are closed are in no list.
+  enum phase : std::size_t { idle, receiving, progressing, handling, sending, phases };
   using account_list = std::list<client_account*>;
 
   // These need the lock.
@@ -81,7 +89,13 @@
   void enforce_bytes();
   bool admit_connection();
   bool admit_waiting(std::size_t bytes) const;
-  client_account* oldest(std::initializer_list<phase> candidates) const;
+  client_account* connection_to_close() const;
+  client_account* holder_to_close() const;
+  bool is_lone(const client_account& account) const;
+  void count_source(const client_account& account, bool opened);
+  using account_filter = std::function<bool(const client_account&)>;
+  client_account* oldest(std::initializer_list<phase> candidates,
+                         const account_filter& filter) const;
   void close(client_account& account, client_close_cause cause);
   void retire(client_account& account);
   void count(client_close_cause cause) { ++closed_[static_cast<std::size_t>(cause)]; }
@@ -94,7 +108,10 @@
   std::size_t retired_bytes_ = 0;  // part of `bytes_`, of accounts that are closed
   std::size_t waiting_bytes_ = 0;  // part of `bytes_`, of complete requests
   std::size_t connections_ = 0;    // that are not closed
-  std::size_t closing_ = 0;        // closed by the budget, and their descriptors are still open
+  // Of connections that are not closed, by source, and how many sources have only one.
+  std::unordered_map<std::string, std::size_t> connections_from_;
+  std::size_t lone_sources_ = 0;
+  std::size_t closing_ = 0;  // closed by the budget, and their descriptors are still open
   std::array<std::uint64_t, client_close_causes> closed_{};
   std::atomic<std::uint64_t> failed_accepts_ = 0;
 };
@@ -102,16 +119,17 @@
 // What one connection holds. All member functions may be called from any thread.
 class client_account {
  public:
-  // Returns null if no connection can be closed in favour of this one; the client is then told so.
-  static std::shared_ptr<client_account> open(std::shared_ptr<client_budget> budget,
-                                              int descriptor);
+  // `source` names where the connection comes from; empty if that is not known. Returns null if no
+  // connection can be closed in favour of this one; the client is then told so.
+  static std::shared_ptr<client_account> open(std::shared_ptr<client_budget> budget, int descriptor,
+                                              std::string source = {});
   // Its memory has been released.
   ~client_account();
   client_account(const client_account&) = delete;
   client_account& operator=(const client_account&) = delete;
 
   // An incomplete request holds `bytes`.
-  void receive(std::size_t bytes);
+  void receive(std::size_t bytes, std::chrono::steady_clock::time_point now);
   // A request of `bytes` is complete. A refused one counts as handled, with no bytes.
   [[nodiscard]] begin_verdict begin_handling(std::size_t bytes);
   // A request that is handled takes `bytes` more, for example in decoded form. False if it must be
@@ -128,11 +146,12 @@
 
  private:
   friend class client_budget;
-  client_account(std::shared_ptr<client_budget> budget, int descriptor)
-      : budget_(std::move(budget)), descriptor_(descriptor) {}
+  client_account(std::shared_ptr<client_budget> budget, int descriptor, std::string source)
+      : budget_(std::move(budget)), source_(std::move(source)), descriptor_(descriptor) {}
   client_budget::phase phase() const;
 
   const std::shared_ptr<client_budget> budget_;
+  const std::string source_;
   std::atomic<bool> closed_ = false;
   // Guarded by the mutex of the budget.
   int descriptor_;
@@ -146,6 +165,8 @@
   std::size_t handled_bytes_ = 0;
   std::size_t unsent_bytes_ = 0;
   bool receives_ = false;
+  bool progresses_ = false;
+  std::chrono::steady_clock::time_point last_received_;
   std::size_t handled_requests_ = 0;
   std::size_t unsent_responses_ = 0;
 };
--- a/coltsfoot/transport/internal/client_socket.h
+++ b/coltsfoot/transport/internal/client_socket.h
@@ -7,6 +7,7 @@
 //   };
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <restinio/asio_include.hpp>
 #include <restinio/tls_fwd.hpp>
@@ -61,15 +62,17 @@
   using executor_type = asio::ip::tcp::socket::executor_type;
   using lowest_layer_type = asio::ip::tcp::socket::lowest_layer_type;
 
-  explicit client_socket(asio::ip::tcp::socket socket) : socket_(std::move(socket)) {}
+  // `source`: the client's address, as accounts name it.
+  client_socket(asio::ip::tcp::socket socket, std::string source)
+      : socket_(std::move(socket)), source_(std::move(source)) {}
   client_socket(client_socket&&) = default;
   client_socket& operator=(client_socket&&) = delete;
   ~client_socket() { detach(); }
 
   // False if the budget refuses the connection.
   bool open_account() {
-    auto account =
-        client_account::open(budget_service_of(get_executor()).budget, socket_.native_handle());
+    auto account = client_account::open(budget_service_of(get_executor()).budget,
+                                        socket_.native_handle(), std::move(source_));
     if (!account) return false;
     connection_ = std::make_shared<client_connection>();
     connection_->account = std::move(account);
@@ -127,7 +130,8 @@
           }
           // The parser's data lives as long as `handler`, which holds RESTinio's connection.
           if (connection->request.body != nullptr) {
-            connection->account->receive(connection->request.bytes());
+            connection->account->receive(connection->request.bytes(),
+                                         std::chrono::steady_clock::now());
           }
         });
   }
@@ -137,6 +141,7 @@
   }
 
   asio::ip::tcp::socket socket_;
+  std::string source_;
   std::shared_ptr<client_connection> connection_;
 };
 
--- a/coltsfoot/transport/internal/listener_acceptor.h
+++ b/coltsfoot/transport/internal/listener_acceptor.h
@@ -9,6 +9,7 @@
 #include <exception>
 #include <memory>
 #include <restinio/all.hpp>
+#include <string>
 #include <tuple>
 #include <utility>
 
@@ -23,6 +24,14 @@
 // counts as memory of the process.
 inline constexpr int accept_queue_length = 512;
 
+// Names the address of a client for the budget. Of IPv6, one client usually has all addresses with
+// the same first 64 bits.
+inline std::string source_of(const asio::ip::address& address) {
+  if (address.is_v4()) return address.to_string();
+  const auto bytes = address.to_v6().to_bytes();
+  return {bytes.begin(), bytes.begin() + bytes.size() / 2};
+}
+
 // RESTinio's connections ask for a limiter, which the listeners don't use.
 class unused_limiter : restinio::connection_count_limits::impl::acceptor_callback_iface_t {
  public:
@@ -109,7 +118,7 @@
     const auto verdict = ip_blocker_->inspect(restinio::ip_blocker::incoming_info_t{remote});
     if (verdict != restinio::ip_blocker::allow()) return;
     try {
-      client_socket client{std::move(socket)};
+      client_socket client{std::move(socket), source_of(remote.address())};
       factory_->create_new_connection(std::move(client), remote, {limiter_.get()})->init();
     } catch (const std::exception&) {
       return;
