Listeners: let the budget alone limit connections

Cause: each listener refused new connections beyond 4,096, while the budget, up to 16,384 by default, replaces idle ones. Where the budget allows more, 4,096 idle clients kept ordinary callers out for a minute. From reading; the test of the listener fails without the change (an idle connection at a bound of one).

--- a/coltsfoot/transport/http_server.h
+++ b/coltsfoot/transport/http_server.h
@@ -40,7 +40,7 @@
   std::size_t max_header_value_bytes = std::size_t{8} * 1024;
   std::size_t max_header_count = 64;
   std::size_t max_target_bytes = std::size_t{8} * 1024;
-  std::size_t max_connections = 4096;  // per listener
+  std::size_t max_connections = 4096;  // per listener; without `clients`
   duration default_deadline{30'000};   // of requests without coltsfoot-deadline-ms
   duration longest_deadline{300'000};
   duration idle_timeout{60'000};
--- a/coltsfoot/transport/internal/rest_listener.cc
+++ b/coltsfoot/transport/internal/rest_listener.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cctype>
 #include <exception>
+#include <limits>
 #include <mutex>
 #include <restinio/all.hpp>
 #include <tuple>
@@ -156,6 +157,11 @@
   });
 }
 
+// The budget replaces connections at its limit, where the listener could only refuse new ones.
+std::size_t most_connections(const rest_listener_options& options) {
+  return options.clients ? std::numeric_limits<std::size_t>::max() : options.max_connections;
+}
+
 asio::ip::address listen_address_of(const std::string& ip) {
   return ip == "localhost" ? asio::ip::address_v4::loopback() : asio::ip::make_address(ip);
 }
@@ -264,7 +270,7 @@
   rest_listener_options options_;
   rest_handler handler_;
   std::shared_ptr<connection_bound> bound_ =
-      std::make_shared<connection_bound>(options_.max_connections);
+      std::make_shared<connection_bound>(most_connections(options_));
   std::atomic<std::uint16_t> port_{0};
   std::atomic<std::uint64_t> received_body_bytes_{0};
   std::shared_ptr<std::atomic<std::uint64_t>> sent_body_bytes_ =
--- a/coltsfoot/transport/internal/rest_listener.h
+++ b/coltsfoot/transport/internal/rest_listener.h
@@ -64,7 +64,7 @@
   std::size_t max_header_value_bytes = std::size_t{64} * 1024;
   std::size_t max_header_count = 256;
   std::size_t max_target_bytes = std::size_t{64} * 1024;
-  std::size_t max_connections = 4096;
+  std::size_t max_connections = 4096;  // without `clients`, which have a limit of their own
   duration idle_timeout{60'000};
   duration answer_timeout{600'000};        // the connection is closed if there is no answer by then
   std::shared_ptr<client_budget> clients;  // shared with other listeners; null: no limits
--- a/coltsfoot/transport/internal/rest_listener_test.cc
+++ b/coltsfoot/transport/internal/rest_listener_test.cc
@@ -106,6 +106,25 @@
   EXPECT_TRUE(text.starts_with("HTTP/1.1 200 ")) << text;
 }
 
+// Guards against idle connections that shut out new ones before the limit of the budget, which
+// would replace them.
+TEST(rest_listener_test, connections_are_limited_by_the_budget) {
+  asio::io_context io;
+  const auto budget = std::make_shared<client_budget>(client_limits{.connections = 8});
+  rest_listener listener{{.max_connections = 1, .clients = budget},
+                         [](const rest_request&, const rest_responder& respond) {
+                           respond({.status = 200, .close = true});
+                         }};
+  ASSERT_TRUE(listener.start());
+  const auto idle = connect_to(io, listener.port());
+  auto next = connect_to(io, listener.port());
+  send_request(next);
+  std::string text;
+  asio::error_code end;
+  asio::read(next, asio::dynamic_buffer(text), end);
+  EXPECT_TRUE(text.starts_with("HTTP/1.1 200 ")) << text;
+}
+
 // The descriptors that this process may open; the former limit is back when it is destroyed.
 class descriptor_limit {
  public:
