Move the text of HTTP messages out of the listener

rest_listener.cc held the listener and the parsing of headers, targets and queries, which others use without a listener.

--- a/coltsfoot/transport/internal/rest_listener.h
+++ b/coltsfoot/transport/internal/rest_listener.h
@@ -19,6 +19,7 @@
 #include "coltsfoot/base/time.h"
 #include "coltsfoot/model/request.h"
 #include "coltsfoot/transport/client_budget.h"
+#include "coltsfoot/transport/internal/http_text.h"
 #include "coltsfoot/transport/transport_error.h"
 
 namespace coltsfoot::internal {
@@ -98,20 +99,4 @@
   std::unique_ptr<impl> impl_;
 };
 
-// Returns whether a header concerns only one connection (RFC 9110, 7.6.1) or is set by the sender's
-// own HTTP library, so that it is not forwarded.
-bool is_connection_header(std::string_view name);
-
-// Removes the headers above, those that a Connection header names, and those with control
-// characters in name or value.
-std::vector<http_header> end_to_end_headers(const std::vector<http_header>& headers);
-
-// Returns `text` with percent-encoded bytes decoded, or unchanged if the encoding is invalid.
-std::string url_decode(std::string_view text);
-
-// Returns the value of a parameter in the query of `target`, or nothing.
-std::optional<std::string> query_value(std::string_view target, std::string_view name);
-
-bool equals_ignoring_case(std::string_view a, std::string_view b);
-
 }  // namespace coltsfoot::internal
