Job nodes: bound the memory of accepted jobs

Cause: a request of 60 bytes may ask for 20,000 tasks. Each node of the fleet holds some 88 bytes for each of them until the job has ended, and nothing bounded how many jobs callers hand in: a few hundred such requests end all processes.

Fix: a node accepts a job only if the jobs that it knows, those that it accepted in the last 2 s and the new one fit into a quarter of its memory, and accepts a sixteenth of that in 2 s, or one job, since others learn of it later. Otherwise 429 with Retry-After, before anything is recorded. A job that may be recorded already is not refused.

--- a/coltsfoot/daemon/client_limits.cc
+++ b/coltsfoot/daemon/client_limits.cc
@@ -12,7 +12,7 @@
 
 constexpr std::uint64_t mib = 1'048'576;
 
-// A quarter of the memory. The rest holds the node's own state and requests that are complete.
+// A quarter of the memory is for clients, and a quarter of a job node's for accepted jobs.
 constexpr std::uint64_t memory_divisor = 4;
 
 // More would only serve clients that don't complete their requests.
@@ -110,6 +110,10 @@
                                     most_peer_connections)};
 }
 
+std::size_t resolve_job_memory(const client_limit_settings& settings, const machine_size& machine) {
+  return memory_of(settings, machine) / memory_divisor;
+}
+
 void add_client_metrics(exposition& page, const client_budget_stats& stats) {
   page.add_gauge("client_memory_bytes", static_cast<double>(stats.bytes));
   page.add_gauge("client_memory_limit_bytes", static_cast<double>(stats.limits.bytes));
--- a/coltsfoot/daemon/client_limits.h
+++ b/coltsfoot/daemon/client_limits.h
@@ -54,6 +54,9 @@
 peer_limits resolve_peer_limits(const client_limit_settings& settings, const machine_size& machine,
                                 const client_limits& clients, std::size_t largest_request);
 
+// Memory for accepted jobs, in bytes: a quarter.
+std::size_t resolve_job_memory(const client_limit_settings& settings, const machine_size& machine);
+
 // Adds what clients use, the limits, and the connections closed.
 void add_client_metrics(exposition& page, const client_budget_stats& stats);
 
--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -165,6 +165,13 @@
   }
 }
 
+client_limit_settings limit_settings_of(const fleet_settings& settings) {
+  return {.memory_mb = settings.memory_mb,
+          .file_descriptors = settings.file_descriptors,
+          .client_memory_mb = settings.client_memory_mb,
+          .client_connections = settings.client_connections};
+}
+
 jobs::job_node_options node_options(const fleet_settings& settings) {
   jobs::job_node_options options{
       .node = settings.node,
@@ -183,6 +190,7 @@
   options.layout.link_bytes_per_s = settings.link_bytes_per_s;
   options.drain_time =
       std::max(settings.shutdown_grace - socket_close_margin, settings.shutdown_grace / 2);
+  options.memory.most_bytes = resolve_job_memory(limit_settings_of(settings), read_machine());
   options.refusal_time = std::min(options.refusal_time, options.drain_time / 3);
   return options;
 }
@@ -199,13 +207,6 @@
   return signals;
 }
 
-client_limit_settings limit_settings_of(const fleet_settings& settings) {
-  return {.memory_mb = settings.memory_mb,
-          .file_descriptors = settings.file_descriptors,
-          .client_memory_mb = settings.client_memory_mb,
-          .client_connections = settings.client_connections};
-}
-
 tl::expected<client_limits, std::string> limits_of(const fleet_settings& settings) {
   return resolve_client_limits(limit_settings_of(settings), read_machine(),
                                largest_request_bytes(max_caller_body_bytes));
--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -83,6 +83,9 @@
   void query(const caller_request& request, const job_id& id);
   void answer_state(call_id call, const job_id& id);
   std::size_t pending(const queue_id& queue) const;
+  std::size_t bytes_of_jobs() const;
+  // Whether there is room for a job that a caller hands in.
+  bool has_memory_for(const caller_request& request, const job_shard& shard, const job_id& id);
   found_job find(const job_id& id);
   // Whether the journals of all shards have been read to their ends.
   bool journals_are_read() const;
@@ -155,6 +158,7 @@
 
   std::map<call_id, peer_query> peer_queries_;
   std::map<call_id, unproved_cancel> unproved_cancels_;  // by the caller's call
+  job_memory memory_{context_.options.memory};
   std::optional<time_point> shutdown_at_;
   bool ended_ = false;
   bool ready_ = false;
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -134,8 +134,29 @@
     return context_.answer(request.call, {.verdict = caller_verdict::malformed,
                                           .detail = "is too large to be recorded"});
   }
-  const auto number = layout().shard_of_job(id, *request.spec);
-  shards_.at(number)->append_for_caller(request, std::move(record), caller_verdict::accepted);
+  auto& shard = *shards_.at(layout().shard_of_job(id, *request.spec));
+  if (!has_memory_for(request, shard, id)) {
+    return context_.answer(request.call, {.verdict = caller_verdict::overloaded,
+                                          .retry_after = context_.options.retry_after,
+                                          .detail = "the jobs take too much memory"});
+  }
+  shard.append_for_caller(request, std::move(record), caller_verdict::accepted);
+}
+
+// A job that may be accepted already, as an earlier call asked, can't be refused as never run.
+bool job_node::has_memory_for(const caller_request& request, const job_shard& shard,
+                              const job_id& id) {
+  if (shard.may_be_accepted(id)) return true;
+  return memory_.admit(
+      bytes_of_job(*request.spec), [this] { return bytes_of_jobs(); }, context_.now);
+}
+
+std::size_t job_node::bytes_of_jobs() const {
+  std::size_t bytes = 0;
+  for (const auto& shard : shards_) {
+    for (const auto& [id, known] : shard->table()) bytes += bytes_of_job(known);
+  }
+  return bytes;
 }
 
 void job_node::cancel(const caller_request& request, const job_id& id) {
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -48,6 +48,8 @@
                          caller_verdict verdict);
   // Whether the acceptance of an unknown job by this node may still be recorded, and would count.
   bool may_be_accepted_late(const job_id& id) const;
+  // The same, or an acceptance is still to be recorded.
+  bool may_be_accepted(const job_id& id) const;
   // Answers all callers who wait for a record. Nothing more is appended for them.
   void end_caller_appends();
 
--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -107,6 +107,11 @@
   return may_be_recorded_late(acceptance_key(id)) && !state_.table.early_cancels().contains(id);
 }
 
+bool job_shard::may_be_accepted(const job_id& id) const {
+  const auto key = acceptance_key(id);
+  return caller_appends_.contains(key) || may_be_recorded_late(key);
+}
+
 bool job_shard::is_expired(const std::string& key, const caller_append& entry) const {
   if (context_.now >= entry.give_up) return true;
   return !entry.doubtful && !caller_batch_.contains(key) && caller_append_call_ == 0 &&
--- a/coltsfoot/jobs/node_context.h
+++ b/coltsfoot/jobs/node_context.h
@@ -10,6 +10,7 @@
 
 #include "coltsfoot/evacuation/evacuated_zones.h"
 #include "coltsfoot/following/read_interval.h"
+#include "coltsfoot/jobs/job_memory.h"
 #include "coltsfoot/jobs/job_owner.h"
 #include "coltsfoot/jobs/node_messages.h"
 #include "coltsfoot/jobs/owner_election.h"
@@ -67,6 +68,7 @@
   duration balance_interval{500};
   duration handover_interval{250};
   std::size_t most_handovers_at_once = 16;  // of one shard, in an interval
+  job_memory_options memory;
 };
 
 struct job_node_stats {
