--- a/coltsfoot/transport/internal/listener_acceptor.h
+++ b/coltsfoot/transport/internal/listener_acceptor.h
@@ -33,7 +33,7 @@
 }
 
 // RESTinio's connections ask for a limiter, which the listeners don't use.
-class unused_limiter : restinio::connection_count_limits::impl::acceptor_callback_iface_t {
+class unused_limiter final : restinio::connection_count_limits::impl::acceptor_callback_iface_t {
  public:
   using limiter = restinio::connection_count_limits::noop_connection_count_limiter_t;
 
