--- a/tests/process/client_crowds_process_test.cc
+++ b/tests/process/client_crowds_process_test.cc
@@ -68,6 +68,7 @@
   constexpr std::size_t connections = 10'000;  // of each thread
   for (const auto port : {program_.port(), program_.metrics_port(), program_.peer_port()}) {
     std::vector<std::thread> crowd;
+    crowd.reserve(threads);
     for (std::size_t n = 0; n < threads; ++n) {
       crowd.emplace_back([port] { reset_connections(port, connections); });
     }
