Fleet layout: a job has one shard, whatever layout its calls find

Cause: the shard of a job near data followed from the layout at the time of the call. A rack that registered between two calls moved the job to another shard, and the store carried out the first append late. Nothing compares two journals.

Change: a rack that the first layout does not have is in the shard that the hash of its name gives, also before it registers, and jobs near it go there. The shard follows from id, specification and the first layout alone. New racks are spread by their names instead of going to the smallest shard; workers are transferred to shards that lack room, as before.

--- a/coltsfoot/jobs/fleet_layout.cc
+++ b/coltsfoot/jobs/fleet_layout.cc
@@ -33,14 +33,21 @@
       std::clamp<std::size_t>(needed, 1, std::max<std::uint32_t>(options.most_shards, 1)));
 }
 
-// Workers of each shard, as far as they are listed.
-std::vector<std::size_t> loads_of(const fleet_layout& layout, const rack_sizes& racks) {
+// Each rack goes to the shard with the fewest workers, the largest one first.
+fleet_layout first_layout(const rack_sizes& racks, const layout_options& options) {
+  fleet_layout layout{.shards = shards_for(count_workers(racks), options)};
+  std::vector<std::pair<std::size_t, std::string>> by_size;
+  for (const auto& [rack, workers] : racks) by_size.emplace_back(workers, rack);
+  std::sort(by_size.begin(), by_size.end(), std::greater<>{});
   std::vector<std::size_t> loads(layout.shards, 0);
-  for (const auto& entry : layout.racks) {
-    const auto found = racks.find(entry.rack);
-    if (found != racks.end() && entry.shard < loads.size()) loads[entry.shard] += found->second;
+  for (const auto& [workers, rack] : by_size) {
+    const auto least = std::min_element(loads.begin(), loads.end());
+    layout.racks.push_back(
+        {.rack = rack, .shard = static_cast<shard_number>(least - loads.begin())});
+    *least += workers;
   }
-  return loads;
+  std::sort(layout.racks.begin(), layout.racks.end(), by_name);
+  return layout;
 }
 
 }  // namespace
@@ -60,12 +67,16 @@
   return found->shard;
 }
 
+shard_number fleet_layout::shard_of_name(std::string_view name) const {
+  return shards <= 1 ? first_shard : static_cast<shard_number>(stable_hash(name) % shards);
+}
+
 shard_number fleet_layout::shard_of_job(const job_id& id, const job_spec& spec) const {
   for (const auto& step : spec.steps) {
     if (step.data_label.empty()) continue;
-    if (const auto shard = shard_of_rack(step.data_label)) return *shard;
+    return shard_of_rack(step.data_label).value_or(shard_of_name(step.data_label));
   }
-  return shards <= 1 ? first_shard : static_cast<shard_number>(stable_hash(id.value) % shards);
+  return shard_of_name(id.value);
 }
 
 std::string rack_of(const worker_listing& worker) {
@@ -74,18 +85,11 @@
 
 fleet_layout extended(const fleet_layout& layout, const rack_sizes& racks,
                       const layout_options& options) {
+  if (!layout.decided()) return first_layout(racks, options);
   fleet_layout next = layout;
-  if (!next.decided()) next.shards = shards_for(count_workers(racks), options);
-  auto loads = loads_of(next, racks);
-  std::vector<std::pair<std::size_t, std::string>> fresh;  // by size
   for (const auto& [rack, workers] : racks) {
-    if (!layout.shard_of_rack(rack)) fresh.emplace_back(workers, rack);
-  }
-  std::sort(fresh.begin(), fresh.end(), std::greater<>{});  // the largest first, for even shards
-  for (const auto& [workers, rack] : fresh) {
-    const auto least = std::min_element(loads.begin(), loads.end());
-    next.racks.push_back({.rack = rack, .shard = static_cast<shard_number>(least - loads.begin())});
-    *least += workers;
+    if (layout.shard_of_rack(rack)) continue;
+    next.racks.push_back({.rack = rack, .shard = layout.shard_of_name(rack)});
   }
   std::sort(next.racks.begin(), next.racks.end(), by_name);
   return next;
--- a/coltsfoot/jobs/fleet_layout.h
+++ b/coltsfoot/jobs/fleet_layout.h
@@ -1,6 +1,7 @@
 // How the fleet is divided into shards. A shard owns the workers of some racks and a part of the
-// jobs, and has one owner. The number of shards is fixed when the first layout is recorded; racks
-// that come later are dealt to the shards there are, and no rack ever moves.
+// jobs, and has one owner. The number of shards is fixed when the first layout is recorded. Racks
+// that come later go to the shard that their names give, and no rack ever moves: so the shard of a
+// job is the same before and after the layout has the rack of its data.
 //
 // Load it answers: more starts a second than the processor or the link of one node can decide and
 // order.
@@ -39,7 +40,10 @@
 
   bool decided() const { return shards > 0; }
   std::optional<shard_number> shard_of_rack(std::string_view rack) const;
-  // A job with data near a rack belongs to that rack's shard; others are spread by their ids.
+  // The shard of a rack that the first layout does not have.
+  shard_number shard_of_name(std::string_view name) const;
+  // A job with data near a rack belongs to that rack's shard; others are spread by their ids. No
+  // later layout gives another shard: two calls that hand in one job may find different layouts.
   shard_number shard_of_job(const job_id& id, const job_spec& spec) const;
   friend bool operator==(const fleet_layout&, const fleet_layout&) = default;
 };
@@ -60,7 +64,7 @@
 // The rack that a worker counts for. One without a rack is a rack of its own.
 std::string rack_of(const worker_listing& worker);
 
-// Returns the layout with all racks in it. New racks go to the shards with the fewest workers.
+// Returns the layout with all racks in it. The first one has shards of even size.
 fleet_layout extended(const fleet_layout& layout, const rack_sizes& racks,
                       const layout_options& options);
 
--- a/tests/jobs/job_shards_test.cc
+++ b/tests/jobs/job_shards_test.cc
@@ -110,6 +110,39 @@
   EXPECT_EQ(reported, 20U);
 }
 
+// Guards against a job that is accepted in two shards, as its rack got a shard between two calls.
+TEST(job_fleet_test, an_acceptance_and_its_repetition_after_a_rack_was_added_are_one_job) {
+  constexpr int racks = 3;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    virtual_fleet fleet{{.nodes = 4, .workers = 2 * racks, .seed = seed, .workers_per_shard = 2}};
+    const auto show_last_rack = [&](bool shown) {
+      fleet.set_worker_reachable(2 * racks - 2, shown);
+      fleet.set_worker_reachable(2 * racks - 1, shown);
+    };
+    show_last_rack(false);
+    wait_until_settled(fleet);
+    ASSERT_EQ(fleet.node(0).shards().size(), 2U);
+    auto spec = long_running_job(2);
+    spec.steps[0].data_label = "r" + std::to_string(racks - 1);
+    const auto submit_all = [&](int node) {
+      for (int i = 0; i < 6; ++i) fleet.submit(node, "j" + std::to_string(i), spec);
+    };
+    fleet.set_late_caller_appends(true);
+    submit_all(0);
+    fleet.run_for(duration{300});
+    fleet.set_late_caller_appends(false);
+    show_last_rack(true);
+    const auto is_known = [&] {
+      return fleet.node(1).shards().front()->layout().shard_of_rack(spec.steps[0].data_label);
+    };
+    ASSERT_TRUE(fleet.run_until([&] { return is_known().has_value(); }, duration{4'000}));
+    submit_all(1);
+    fleet.run_for(duration{8'000});
+    EXPECT_EQ(fleet.starts(), 12U) << "seed " << seed;
+    EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
+  }
+}
+
 TEST(job_fleet_test, strong_nodes_own_the_shards) {
   auto options = four_shards(4);
   options.strengths = {120, 120, 500, 500, 500, 500};
