Shards: tasks go where workers can run them

Cause: tasks are placed on workers of their job's shard only. Long-running tasks of started jobs could go to a shard with room; no other task could, even where no worker of the shard could ever run it.

Change: the waiting tasks of a step that no listed worker of the shard can run (service, label, size; all of a gang) are handed to the shard with the most places for them, 2 s after they began to wait. Tasks that no shard can run stay. Steps that no worker of a shard can run no longer make it look short of room: it took workers of the rare kind from the only shard that could run them.

--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -129,6 +129,9 @@
   bool is_over_in_own_shard(const job& copy);
   void withdraw_tasks(job_shard& holder);
   void give_tasks(job_shard& giver, std::optional<shard_rooms>& rooms);
+  void give_steps_without_worker(job_shard& giver);
+  void take_progress_of_copies(job_shard& own);
+  shard_rooms listed_rooms() const;
   shard_rooms free_rooms() const;
   void extend_layout();
   bool first_layout_is_due() const;
--- a/coltsfoot/jobs/job_node_balance.cc
+++ b/coltsfoot/jobs/job_node_balance.cc
@@ -41,10 +41,14 @@
     largest.memory_mb = std::max(largest.memory_mb, listing.capacity.memory_mb);
     largest.accelerators = std::max(largest.accelerators, listing.capacity.accelerators);
   }
+  const auto rooms = listed_rooms();
   for (const auto& shard : shards_) {
     auto& load = loads[shard->number()];
     for (const auto& [id, j] : shard->table()) {
-      load.wanted += wanted_room(j, largest, context_.wall);
+      const auto can_run = [&, &service = j.accepted.service](const step_spec& step) {
+        return rooms.has_places(shard->number(), {.step = &step, .service = service});
+      };
+      load.wanted += wanted_room(j, largest, context_.wall, can_run);
     }
     if (!shard->is_owner()) continue;
     for (const auto& [listing, to] : shard->owner()->transfers_under_way()) {
--- a/coltsfoot/jobs/job_node_handovers.cc
+++ b/coltsfoot/jobs/job_node_handovers.cc
@@ -1,6 +1,9 @@
-// The part of a node that lets long-running tasks go to shards which have room for them.
+// The part of a node that lets tasks go to shards which can run them.
+#include <fmt/format.h>
+
 #include <algorithm>
 
+#include "coltsfoot/base/log_text.h"
 #include "coltsfoot/jobs/job_node.h"
 
 namespace coltsfoot::jobs {
@@ -61,12 +64,28 @@
   }
   if (!journals_are_read()) return;
   for (auto& shard : shards_) {
-    if (shard->is_owner()) take_tasks(*shard);
+    if (!shard->is_owner()) continue;
+    take_tasks(*shard);
+    take_progress_of_copies(*shard);
   }
   if (context_.shutting_down) return;
   std::optional<shard_rooms> rooms;  // made when a task needs them
   for (auto& shard : shards_) {
-    if (shard->is_owner()) give_tasks(*shard, rooms);
+    if (!shard->is_owner()) continue;
+    give_tasks(*shard, rooms);
+    if (workers_.caught_up()) give_steps_without_worker(*shard);
+  }
+}
+
+// Only what is in the journal of the other shard counts.
+void job_node::take_progress_of_copies(job_shard& own) {
+  for (const auto& holder : shards_) {
+    if (holder.get() == &own) continue;
+    for (const auto& [id, copy] : holder->table()) {
+      if (!copy.accepted.partial) continue;
+      const bool recorded = !holder->is_owner() || holder->owner()->is_recorded(id);
+      if (recorded) own.owner()->take_progress(copy, context_.now);
+    }
   }
 }
 
@@ -124,9 +143,32 @@
   }
 }
 
-// What the journals leave free, less the room that long-running tasks wait for in each shard. Tasks
-// that have never run may wait for another reason than room, so they hold back no restart.
-shard_rooms job_node::free_rooms() const {
+// Tasks that no worker of the fleet can run stay where they are: workers may come.
+void job_node::give_steps_without_worker(job_shard& giver) {
+  auto& owner = *giver.owner();
+  std::size_t given = 0;
+  std::optional<shard_rooms> rooms;  // made when a step needs them
+  for (const auto& waiting : owner.steps_without_worker(context_.now)) {
+    if (!rooms) rooms = listed_rooms();
+    const auto& j = *giver.table().find(waiting.job);
+    const auto ref = j.ref_of(waiting.tasks.front());
+    const auto to = rooms->able_shard(need_of(j, waiting.tasks.front()), giver.number());
+    if (!to) continue;
+    context_.log(severity::info,
+                 fmt::format("event=step_has_no_worker job={} occurrence={} step={} tasks={} "
+                             "shard={} to_shard={}",
+                             log_value(waiting.job.value), ref.occurrence, ref.step,
+                             waiting.tasks.size(), giver.number(), *to));
+    for (const auto index : waiting.tasks) {
+      owner.hand_over({.job = waiting.job, .index = index}, *to, context_.now);
+    }
+    given += waiting.tasks.size();
+    if (given >= context_.options.most_handovers_at_once) return;
+  }
+}
+
+// The workers that may get new tasks, as if nothing ran there.
+shard_rooms job_node::listed_rooms() const {
   shard_rooms rooms{shards_.size()};
   const auto plausible = plausible_worker_capacity();
   for (const auto& [id, listing] : registry_) {
@@ -135,6 +177,13 @@
     if (context_.evacuated.contains(listing.zone)) continue;
     rooms.add_worker(place->shard, listing);
   }
+  return rooms;
+}
+
+// What the journals leave free, less the room that long-running tasks wait for in each shard. Tasks
+// that have never run may wait for another reason than room, so they hold back no restart.
+shard_rooms job_node::free_rooms() const {
+  auto rooms = listed_rooms();
   for (const auto& shard : shards_) {
     for_each_task(shard->table(), task_phase::assigned, [&](const job& j, task_index index) {
       const auto& step = j.step_of(j.ref_of(index));
--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -211,7 +211,8 @@
   mark_changed(j);
   const bool all_done = std::all_of(j.open_tasks.begin(), j.open_tasks.end(),
                                     [](std::uint32_t open) { return open == 0; });
-  if (all_done) return finish(j, job_outcome::completed, now);
+  // A partial copy is ended by the job's own shard, which has to read of the tasks first.
+  if (all_done && !j.accepted.partial) return finish(j, job_outcome::completed, now);
   refresh_waiting(j, now);
 }
 
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -83,6 +83,9 @@
   // room which is there for 3 s.
   duration handover_patience{1'000};
   duration repeated_handover_patience{2'000};
+  // A task waits this long before it is asked whether any listed worker of the shard can run it,
+  // and as long again for such a worker: entries may be missing for a moment.
+  duration workerless_patience{1'000};
   relocation::relocation_options relocation;
   evacuation_options evacuation;
 };
@@ -163,10 +166,20 @@
   std::vector<std::pair<worker_listing, shard_number>> transfers_under_way() const;
   bool may_begin_transfer() const;
 
-  // --- Handovers of long-running tasks between shards ---
+  // --- Handovers of tasks between shards ---
   // Tasks that have waited long enough for room in this shard. To be called regularly: a task waits
   // from the call that finds it waiting first.
   std::vector<task_key> tasks_without_room(time_point now);
+  // Waiting tasks of a step, which go to another shard together.
+  struct waiting_step {
+    job_id job;
+    std::vector<task_index> tasks;
+  };
+  // Steps whose waiting tasks no listed worker of this shard can ever run, for longer than listings
+  // come and go. To be called regularly.
+  std::vector<waiting_step> steps_without_worker(time_point now);
+  // Takes what another shard has recorded of the tasks of a job that it runs for this shard.
+  void take_progress(const job& copy, time_point now);
   // Leaves a waiting task to another shard.
   void hand_over(const task_key& key, shard_number to, time_point now);
   // Takes a task that another shard has handed to this one, unless that was done before. `source`
@@ -338,7 +351,8 @@
   void settle_transfer(worker_link& link, time_point now);
   void give_up_transfer(worker_link& link);
   bool keep_worker_for(const placement_request& request, time_point now);
-  job& add_partial_copy(const accepted_job& accepted);
+  job& add_partial_copy(const job& source);
+  bool can_ever_run(const step_spec& step, const service_id& service) const;
   duration handover_patience_for(const job& j, task_index index) const;
   void tend_workers(time_point now);
   void tend_worker(worker_link& link, time_point now);
@@ -412,6 +426,8 @@
   std::set<job_id> dirty_;                         // progress to be recorded
   std::set<job_id> new_copies_;                    // partial copies to be recorded
   std::map<task_key, time_point> roomless_since_;  // waiting tasks that may change their shard
+  // Steps that no worker of the shard can run, by their first waiting tasks.
+  std::map<task_key, time_point> workerless_since_;
   std::vector<keyed_record> removals_;
   recorded_effects next_;       // of the batch that will be taken next
   recorded_effects in_flight_;  // of the batch that is being appended
--- a/coltsfoot/jobs/job_owner_handovers.cc
+++ b/coltsfoot/jobs/job_owner_handovers.cc
@@ -1,4 +1,6 @@
-// The part of the owner that gives long-running tasks to shards with room, and takes theirs.
+// The part of the owner that gives tasks to shards that can run them, and takes theirs:
+// long-running ones to shards with room, and tasks of all kinds where this shard has no worker that
+// could ever run them.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -6,6 +8,7 @@
 
 #include "coltsfoot/base/log_text.h"
 #include "coltsfoot/jobs/job_owner.h"
+#include "coltsfoot/jobs/worker_fit.h"
 
 namespace coltsfoot::jobs {
 namespace {
@@ -15,6 +18,15 @@
   return step.long_running && !step.gang && !step.tightly_coupled;
 }
 
+std::vector<task_index> waiting_tasks(const job& j, std::uint32_t occurrence, std::uint32_t step) {
+  std::vector<task_index> tasks;
+  const auto first = j.index_of({.occurrence = occurrence, .step = step});
+  for (auto i = first; i < first + j.accepted.spec.steps[step].count; ++i) {
+    if (j.tasks[i].phase == task_phase::waiting) tasks.push_back(i);
+  }
+  return tasks;
+}
+
 }  // namespace
 
 duration job_owner::handover_patience_for(const job& j, task_index index) const {
@@ -29,8 +41,9 @@
   const auto former = std::exchange(roomless_since_, {});
   for (const auto& [id, since] : waiting_) {
     const auto* j = table_.find(id);
-    // A job of which no task has been started is shown as waiting; that has to stay true.
-    if (j == nullptr || !j->started) continue;
+    // A job of which no task has been started is shown as waiting; that has to stay true. The job's
+    // own shard shows the state of a partial copy.
+    if (j == nullptr || (!j->started && !j->accepted.partial)) continue;
     for (task_index i = 0; i < j->tasks.size(); ++i) {
       if (j->tasks[i].phase != task_phase::waiting) continue;
       const auto ref = j->ref_of(i);
@@ -48,6 +61,59 @@
   return keys;
 }
 
+bool job_owner::can_ever_run(const step_spec& step, const service_id& service) const {
+  auto needed = places_needed(step);
+  for (const auto& [id, link] : links_) {
+    if (!link.listed || link.evacuated) continue;
+    const auto places = places_on(*link.listing, step, service);
+    if (places >= needed) return true;
+    needed -= places;
+  }
+  return false;
+}
+
+std::vector<job_owner::waiting_step> job_owner::steps_without_worker(time_point now) {
+  std::vector<waiting_step> found;
+  const auto former = std::exchange(workerless_since_, {});
+  for (const auto& [id, since] : waiting_) {
+    const auto* j = table_.find(id);
+    if (j == nullptr || now - since < options_.workerless_patience) continue;
+    const auto& spec = j->accepted.spec;
+    for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+      if (!occurrence_due(*j, occurrence)) break;
+      for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        if (!j->step_ready(occurrence, step)) continue;
+        if (can_ever_run(spec.steps[step], j->accepted.service)) continue;
+        auto tasks = waiting_tasks(*j, occurrence, step);
+        // A gang goes as a whole.
+        if (tasks.empty() || tasks.size() < places_needed(spec.steps[step])) continue;
+        const task_key key{.job = id, .index = tasks.front()};
+        const auto known = former.find(key);
+        const auto waits_since = known == former.end() ? now : known->second;
+        const bool due = now - waits_since >= options_.workerless_patience;
+        // Where no shard has such workers, it is due again later.
+        workerless_since_.emplace(key, due ? now : waits_since);
+        if (!due) continue;
+        found.push_back({.job = id, .tasks = std::move(tasks)});
+      }
+    }
+  }
+  return found;
+}
+
+// An end that is recorded counts, wherever the task has gone meanwhile.
+void job_owner::take_progress(const job& copy, time_point now) {
+  auto* j = table_.find(copy.accepted.id);
+  if (j == nullptr || j->accepted.partial || j->ended() || j->cancel_requested) return;
+  if (copy.started) mark_started(*j);
+  if (copy.outcome == job_outcome::failed) return finish(*j, job_outcome::failed, now);
+  if (copy.ended()) return;
+  for (task_index i = 0; i < copy.tasks.size() && !j->ended(); ++i) {
+    if (copy.tasks[i].phase != task_phase::done) continue;
+    if (j->tasks[i].phase == task_phase::elsewhere) on_task_done(*j, i, now);
+  }
+}
+
 void job_owner::hand_over(const task_key& key, shard_number to, time_point now) {
   auto* j = table_.find(key.job);
   if (j == nullptr || key.index >= j->tasks.size()) return;
@@ -57,7 +123,8 @@
   handover = {.to = to,
               .number = handover.number + 1,
               .run = task.run,
-              .checkpoint = std::exchange(task.checkpoint, {})};
+              .checkpoint = std::exchange(task.checkpoint, {}),
+              .failures = task.failures};
   task.phase = task_phase::elsewhere;
   next_.handovers.insert(key);
   mark_changed(*j);
@@ -72,7 +139,7 @@
                           time_point now) {
   const auto& id = source.accepted.id;
   auto* j = table_.find(id);
-  if (j == nullptr) j = &add_partial_copy(source.accepted);
+  if (j == nullptr) j = &add_partial_copy(source);
   if (j->ended() || j->cancel_requested || index >= j->tasks.size()) return;
   if (j->tasks[index].phase != task_phase::elsewhere) return;
   auto& known = j->handovers[index];
@@ -82,6 +149,7 @@
   task.phase = task_phase::waiting;
   task.run = std::max(task.run, handover.run);
   task.checkpoint = handover.checkpoint;
+  task.failures = std::max(task.failures, handover.failures);
   next_.handovers.insert({.job = id, .index = index});
   mark_changed(*j);
   refresh_waiting(*j, now);
@@ -91,14 +159,15 @@
 }
 
 // A copy of a job of which no task belongs to this shard yet.
-job& job_owner::add_partial_copy(const accepted_job& accepted) {
-  auto copied = accepted;
+job& job_owner::add_partial_copy(const job& source) {
+  const auto& id = source.accepted.id;
+  auto copied = source.accepted;
   copied.partial = true;
   table_.accept(std::move(copied));
-  auto& copy = *table_.find(accepted.id);
-  copy.started = true;
+  auto& copy = *table_.find(id);
+  copy.started = source.started;
   for (auto& task : copy.tasks) task.phase = task_phase::elsewhere;
-  new_copies_.insert(accepted.id);
+  new_copies_.insert(id);
   mark_changed(copy);
   return copy;
 }
--- a/coltsfoot/jobs/job_table.h
+++ b/coltsfoot/jobs/job_table.h
@@ -53,9 +53,10 @@
   std::uint32_t number = 0;  // 1 for the first handover of the task
   run_number run = 0;        // of its newest start, which is over
   std::string checkpoint;
+  std::uint32_t failures = 0;  // runs that ended failed
   friend bool operator==(const task_handover&, const task_handover&) = default;
 };
-COLTSFOOT_CODEC(task_handover, to, number, run, checkpoint)
+COLTSFOOT_CODEC(task_handover, to, number, run, checkpoint, failures)
 
 enum class job_outcome : std::uint8_t { open, completed, failed, cancelled };
 
--- a/coltsfoot/jobs/shard_balance.cc
+++ b/coltsfoot/jobs/shard_balance.cc
@@ -30,7 +30,8 @@
   ++loads.at(to).workers;
 }
 
-resources wanted_room(const job& j, const resources& largest, wall_time now) {
+resources wanted_room(const job& j, const resources& largest, wall_time now,
+                      const std::function<bool(const step_spec&)>& can_run) {
   resources wanted;
   if (j.ended() || j.cancel_requested) return wanted;
   const auto& spec = j.accepted.spec;
@@ -40,8 +41,8 @@
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
       const auto& of_step = spec.steps[step];
       const auto last = first + of_step.count;
-      const bool counts =
-          !of_step.fill && of_step.demand.fits_in(largest) && j.step_ready(occurrence, step);
+      const bool counts = !of_step.fill && of_step.demand.fits_in(largest) &&
+                          j.step_ready(occurrence, step) && (!can_run || can_run(of_step));
       for (auto i = first; counts && i < last; ++i) {
         const auto phase = j.tasks[i].phase;
         const bool here = phase != task_phase::done && phase != task_phase::elsewhere;
--- a/coltsfoot/jobs/shard_balance.h
+++ b/coltsfoot/jobs/shard_balance.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -47,7 +48,9 @@
 
 // Room that the tasks of a job hold or could take now. Filling tasks use only what others leave and
 // do not count, nor do tasks that no worker is large enough for; `largest` is the largest worker.
-resources wanted_room(const job& j, const resources& largest, wall_time now);
+// Steps count only if `can_run` holds, if given: more room of any kind would not help the others.
+resources wanted_room(const job& j, const resources& largest, wall_time now,
+                      const std::function<bool(const step_spec&)>& can_run = {});
 
 // Labels of racks near which open jobs want to run.
 std::set<std::string> wanted_racks(const job_table& table);
--- a/coltsfoot/jobs/shard_rooms.cc
+++ b/coltsfoot/jobs/shard_rooms.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "coltsfoot/jobs/worker_fit.h"
+
 namespace coltsfoot::jobs {
 
 bool needs_no_more_than(const task_need& other, const task_need& need) {
@@ -74,6 +76,30 @@
   return best;
 }
 
+bool shard_rooms::has_places(shard_number shard, const task_need& need) const {
+  std::uint64_t places = 0;
+  return std::any_of(workers_.at(shard).begin(), workers_.at(shard).end(), [&](const auto& worker) {
+    places += places_on(*worker.listing, *need.step, need.service);
+    return places >= places_needed(*need.step);
+  });
+}
+
+std::optional<shard_number> shard_rooms::able_shard(const task_need& need, shard_number own) const {
+  std::optional<shard_number> best;
+  std::uint64_t most = places_needed(*need.step) - 1;
+  for (shard_number shard = 0; shard < workers_.size(); ++shard) {
+    if (shard == own) continue;
+    std::uint64_t places = 0;
+    for (const auto& worker : workers_[shard]) {
+      places += places_on(*worker.listing, *need.step, need.service);
+    }
+    if (places <= most) continue;
+    best = shard;
+    most = places;
+  }
+  return best;
+}
+
 resources shard_rooms::free_for(const task_need& need, const room& worker) {
   auto free = worker.free;
   if (!need.has_run) free -= worker.first_starts;
--- a/coltsfoot/jobs/shard_rooms.h
+++ b/coltsfoot/jobs/shard_rooms.h
@@ -22,7 +22,7 @@
 
 namespace coltsfoot::jobs {
 
-// A long-running task that needs room.
+// A task that needs room.
 struct task_need {
   const step_spec* step = nullptr;
   service_id service;
@@ -49,6 +49,11 @@
   // The shard with the most workers that have room for the task, `own` left out. Workers that run
   // something come first: one that runs nothing may be lost, and the registry not know it yet.
   std::optional<shard_number> best_for(const task_need& need, shard_number own) const;
+  // Whether the workers of a shard, when they are idle, have as many places as the task needs.
+  bool has_places(shard_number shard, const task_need& need) const;
+  // The shard whose workers have the most places for the task when they are idle, `own` left out;
+  // nothing if none has as many as it needs.
+  std::optional<shard_number> able_shard(const task_need& need, shard_number own) const;
 
  private:
   struct room {
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -32,6 +32,13 @@
   return "z" + std::to_string(worker / 2 % options.zones);
 }
 
+// The kind, then the rack.
+std::vector<std::string> labels_of(const fleet_options& options, long worker) {
+  const auto rack = worker / 2;
+  const bool rare = options.rare_racks.contains(static_cast<int>(rack));
+  return {rare ? "b" : "a", "r" + std::to_string(rack)};
+}
+
 jobs::store_codec codec_for(const fleet_options& options) {
   return {.config = [options](std::string_view) -> tl::expected<jobs::fleet_config, std::string> {
             jobs::fleet_config config{.version = 1};
@@ -58,7 +65,7 @@
                                         .zone = zone_of(options, number),
                                         .draining = draining,
                                         .capacity = options.capacity,
-                                        .labels = {"a", "r" + std::to_string(number / 2)}};
+                                        .labels = labels_of(options, number)};
           },
           .config_key = "config",
           .evacuation = {.key_prefix = std::string{evacuation_prefix}, .check = check_evacuation}};
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -40,6 +40,7 @@
   double slack_factor = 1;
   duration latency_target{0};
   std::size_t workers_per_shard = 128;
+  std::set<int> rare_racks{};   // their workers have the label "b" in place of "a"
   int zones = 1;                // workers of racks 0, 1, ... are in zones "z0", "z1", ..., in turn
   double link_bytes_per_s = 0;  // that each node can send; 0: no bound
   // Whether an end counts as noted once a worker has listed it, though the answer may be lost.
