Settings: a placeholder that was not filled in leaves the default

A wrong figure is refused by name, and so is a placeholder in place of an address. A running process refuses a changed file with one: a default must not replace the value that it has.

--- a/coltsfoot/config/fleet_settings.cc
+++ b/coltsfoot/config/fleet_settings.cc
@@ -1,5 +1,6 @@
 #include "coltsfoot/config/fleet_settings.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -58,6 +59,31 @@
 constexpr std::string_view link_key = "link_mbps";
 constexpr double most_link_mbps = 1'000'000;
 
+// Whether the value is a placeholder `{{name}}`, which YAML reads as a map with a map as its key.
+bool is_unfilled(const YAML::Node& value) {
+  if (!value.IsMap() || value.size() != 1) return false;
+  const auto outer = value.begin();
+  const bool nested = outer->first.IsMap() && outer->first.size() == 1 && outer->second.IsNull();
+  if (!nested) return false;
+  const auto inner = outer->first.begin();
+  return inner->first.IsScalar() && inner->second.IsNull();
+}
+
+bool has_default(std::string_view name) {
+  return std::none_of(text_keys.begin(), text_keys.end(),
+                      [name](const auto& key) { return key.name == name; });
+}
+
+// Returns the keys with a default whose values are placeholders.
+std::vector<std::string> unfilled_keys(const YAML::Node& root) {
+  std::vector<std::string> keys;
+  for (const auto& entry : root) {
+    if (!entry.first.IsScalar() || !has_default(entry.first.Scalar())) continue;
+    if (is_unfilled(entry.second)) keys.push_back(entry.first.Scalar());
+  }
+  return keys;
+}
+
 bool is_address(std::string_view text) {
   const auto colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) return false;
@@ -156,7 +182,8 @@
 }  // namespace
 
 tl::expected<fleet_settings, config_error> parse_fleet_settings(std::string_view text,
-                                                                const std::string& file) {
+                                                                const std::string& file,
+                                                                unfilled_setting unfilled) {
   auto root = read_yaml(text, {.file = file, .max_bytes = most_file_bytes});
   if (!root) return tl::unexpected(std::move(root.error()));
   std::vector<std::string_view> names;
@@ -168,7 +195,13 @@
   names.push_back(link_key);
   names.push_back(restore_key);
   if (auto error = check_map(*root, file, names)) return tl::unexpected(std::move(*error));
-  fleet_settings out;
+  fleet_settings out{.unfilled = unfilled_keys(*root)};
+  for (const auto& key : out.unfilled) {
+    if (unfilled == unfilled_setting::is_an_error) {
+      return tl::unexpected(error_at((*root)[key], file, key, "is not filled in"));
+    }
+    root->remove(key);
+  }
   for (const auto& key : text_keys) {
     if (auto error = read_text(*root, file, key, out)) return tl::unexpected(std::move(*error));
   }
@@ -186,10 +219,11 @@
   return out;
 }
 
-tl::expected<fleet_settings, config_error> load_fleet_settings(const std::string& path) {
+tl::expected<fleet_settings, config_error> load_fleet_settings(const std::string& path,
+                                                               unfilled_setting unfilled) {
   auto text = read_file(path, most_file_bytes);
   if (!text) return tl::unexpected(std::move(text.error()));
-  return parse_fleet_settings(*text, path);
+  return parse_fleet_settings(*text, path, unfilled);
 }
 
 }  // namespace coltsfoot
--- a/coltsfoot/config/fleet_settings.h
+++ b/coltsfoot/config/fleet_settings.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 #include "coltsfoot/base/time.h"
 #include "coltsfoot/config/yaml_input.h"
@@ -33,11 +34,21 @@
   duration shutdown_grace{6'000};        // from the stop signal to the kill
   // That a task takes to resume from a checkpoint; 0: slow fill tasks stay where they are.
   duration restore{0};
+  std::vector<std::string> unfilled;  // keys whose placeholders were not filled in
+};
+
+// What becomes of a setting with a default whose placeholder (`{{name}}`) was not filled in. Who
+// fills a template in may know fewer fields than the template has.
+enum class unfilled_setting {
+  takes_default,  // and is named in `unfilled`
+  is_an_error     // for a process that has a value already
 };
 
 // All keys that have no default must be given. Unknown keys are errors.
-tl::expected<fleet_settings, config_error> parse_fleet_settings(std::string_view text,
-                                                                const std::string& file);
-tl::expected<fleet_settings, config_error> load_fleet_settings(const std::string& path);
+tl::expected<fleet_settings, config_error> parse_fleet_settings(
+    std::string_view text, const std::string& file,
+    unfilled_setting unfilled = unfilled_setting::takes_default);
+tl::expected<fleet_settings, config_error> load_fleet_settings(
+    const std::string& path, unfilled_setting unfilled = unfilled_setting::takes_default);
 
 }  // namespace coltsfoot
--- a/coltsfoot/config/fleet_settings_test.cc
+++ b/coltsfoot/config/fleet_settings_test.cc
@@ -80,6 +80,45 @@
   }
 }
 
+// Guards against a node that does not start as its template has a field that is not filled in.
+TEST(fleet_settings_test, a_setting_that_is_not_filled_in_takes_its_default) {
+  const std::string text = complete +
+                           "memory_mb: {{limits.memoryMb}}\nfile_descriptors: {{ a }}\n"
+                           "restore_ms: {{bounds.restoreMs}}\nlink_mbps: {{b}}\n"
+                           "processor_cores: {{c.0}}\nlongest_lease_ms: {{d}}\n";
+  const auto settings = parse_fleet_settings(text, "f.yaml");
+  ASSERT_TRUE(settings) << error_of(text);
+  EXPECT_EQ(settings->memory_mb, 0U);
+  EXPECT_EQ(settings->file_descriptors, 0U);
+  EXPECT_EQ(settings->restore, duration{0});
+  EXPECT_EQ(settings->link_bytes_per_s, 0);
+  EXPECT_EQ(settings->processor_millicores, 0U);
+  EXPECT_EQ(settings->longest_lease, duration{10'000});
+  EXPECT_EQ(settings->unfilled.size(), 6U);
+}
+
+// Guards against a text that is taken for a placeholder, and against a node without its addresses.
+TEST(fleet_settings_test, only_a_placeholder_counts_as_not_filled_in) {
+  for (const std::string value : {"{memory: 160}", "{{a: 1}}", "{{a, b}}", "[160]", "{}",
+                                  "\"{{a}}\"", "{{a}} 160", "{{a}}160", "160 MB"}) {
+    const auto error = error_of(complete + "memory_mb: " + value + "\n");
+    EXPECT_NE(error, "") << value;
+  }
+  auto wrong = complete;
+  wrong.replace(wrong.find("10.0.0.9:8169"), 13, "{{platform.address}}");
+  EXPECT_NE(error_of(wrong).find("store_address"), std::string::npos) << error_of(wrong);
+}
+
+// Guards against limits that a running process gives up for defaults.
+TEST(fleet_settings_test, a_running_process_takes_no_setting_that_is_not_filled_in) {
+  const auto settings = parse_fleet_settings(complete + "memory_mb: {{limits.memoryMb}}\n",
+                                             "f.yaml", unfilled_setting::is_an_error);
+  ASSERT_FALSE(settings);
+  EXPECT_NE(to_string(settings.error()).find("f.yaml:8: memory_mb: is not filled in"),
+            std::string::npos)
+      << to_string(settings.error());
+}
+
 TEST(fleet_settings_test, errors_name_the_file_and_the_key) {
   EXPECT_NE(error_of("node: n1\n").find("zone: is missing"), std::string::npos);
   EXPECT_NE(error_of(complete + "colour: red\n").find("f.yaml:8: colour"), std::string::npos)
--- a/coltsfoot/daemon/fleet_daemon.cc
+++ b/coltsfoot/daemon/fleet_daemon.cc
@@ -230,7 +230,7 @@
 
 // The limits on clients take effect at once, and only if the whole file is valid.
 void reload_settings(const std::string& path, client_budget& clients) {
-  const auto settings = load_fleet_settings(path);
+  const auto settings = load_fleet_settings(path, unfilled_setting::is_an_error);
   if (!settings) return log_rejected_settings(to_string(settings.error()));
   const auto limits = limits_of(*settings);
   if (!limits) return log_rejected_settings(limits.error());
@@ -273,6 +273,9 @@
   log_line(severity::info,
            fmt::format("event=starting version={} zone={} callers={} store={}", COLTSFOOT_VERSION,
                        log_value(settings.zone), settings.caller_address, settings.store_address));
+  for (const auto& key : settings.unfilled) {
+    log_line(severity::warning, "event=setting_not_filled_in key=" + log_value(key));
+  }
   const auto limits = limits_of(settings);
   if (!limits) {
     log_line(severity::error,
--- a/programs/coltsfoot_fleetd.cc
+++ b/programs/coltsfoot_fleetd.cc
@@ -64,6 +64,9 @@
     return exit_usage;
   }
   if (line.check_only) {
+    for (const auto& key : settings->unfilled) {
+      fmt::print("{}: {}: is not filled in, the default holds\n", line.settings_path, key);
+    }
     fmt::print("{}: settings are valid\n", line.settings_path);
     return 0;
   }
