Move what concerns leases to coltsfoot/lease; design of late starts and handovers

coltsfoot/jobs had over 70 files in one folder. lease_clock, restart_watch and grant_authority stand beside unanswered_starts now: what may run on a worker without this owner knowing. No change of code.

--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -24,7 +24,6 @@
 
 #include "coltsfoot/evacuation/evacuation_moves.h"
 #include "coltsfoot/jobs/answer_time.h"
-#include "coltsfoot/jobs/grant_authority.h"
 #include "coltsfoot/jobs/job_record.h"
 #include "coltsfoot/jobs/job_table.h"
 #include "coltsfoot/jobs/job_urgency.h"
@@ -34,6 +33,7 @@
 #include "coltsfoot/jobs/store_limits.h"
 #include "coltsfoot/jobs/worker_calls.h"
 #include "coltsfoot/jobs/worker_link.h"
+#include "coltsfoot/lease/grant_authority.h"
 #include "coltsfoot/observe/latency_histogram.h"
 #include "coltsfoot/relocation/moves_under_way.h"
 #include "coltsfoot/relocation/slow_runs.h"
--- a/coltsfoot/jobs/worker_link.h
+++ b/coltsfoot/jobs/worker_link.h
@@ -8,10 +8,10 @@
 
 #include "coltsfoot/base/name_table.h"
 #include "coltsfoot/jobs/fleet_layout.h"
-#include "coltsfoot/jobs/lease_clock.h"
-#include "coltsfoot/jobs/restart_watch.h"
 #include "coltsfoot/jobs/worker_backoff.h"
 #include "coltsfoot/jobs/worker_calls.h"
+#include "coltsfoot/lease/lease_clock.h"
+#include "coltsfoot/lease/restart_watch.h"
 #include "coltsfoot/lease/unanswered_starts.h"
 #include "coltsfoot/relocation/run_progress.h"
 
--- a/coltsfoot/jobs/grant_authority_test.cc
+++ b/coltsfoot/lease/grant_authority_test.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/grant_authority.h"
+#include "coltsfoot/lease/grant_authority.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
--- a/coltsfoot/jobs/lease_clock_test.cc
+++ b/coltsfoot/lease/lease_clock_test.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/lease_clock.h"
+#include "coltsfoot/lease/lease_clock.h"
 
 #include <gtest/gtest.h>
 
--- a/coltsfoot/jobs/restart_watch_test.cc
+++ b/coltsfoot/lease/restart_watch_test.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/restart_watch.h"
+#include "coltsfoot/lease/restart_watch.h"
 
 #include <gtest/gtest.h>
 
