Tests: late orders beside restarts and cuts in series, and what they find

The virtual fleet dropped late orders whose worker was cut off when they were due, and carried them out up to 6 s late.

--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -31,6 +31,7 @@
   resources capacity{.millicores = 8'000, .memory_mb = 16'000};
   double lost_answers = 0;         // share of orders that are executed but not answered
   double late_orders = 0;          // share of orders that are executed seconds later, unanswered
+  duration latest_order{6'000};    // how much later at the most, at least 2 s
   double slow_looks = 0;           // share of looks that spend most of their time in transit
   double lost_append_answers = 0;  // share of appends that succeed but are not answered
   double compacted_appends = 0;    // share of appends after which the store drops its history
