--- a/coltsfoot/config/fleet_settings_test.cc
+++ b/coltsfoot/config/fleet_settings_test.cc
@@ -101,8 +101,9 @@
 TEST(fleet_settings_test, only_a_placeholder_counts_as_not_filled_in) {
   for (const std::string value : {"{memory: 160}", "{{a: 1}}", "{{a, b}}", "[160]", "{}",
                                   "\"{{a}}\"", "{{a}} 160", "{{a}}160", "160 MB"}) {
-    const auto error = error_of(complete + "memory_mb: " + value + "\n");
-    EXPECT_NE(error, "") << value;
+    std::string text = complete;
+    text.append("memory_mb: ").append(value).append("\n");
+    EXPECT_NE(error_of(text), "") << value;
   }
   auto wrong = complete;
   wrong.replace(wrong.find("10.0.0.9:8169"), 13, "{{platform.address}}");
