--- a/coltsfoot/jobs/job_owner_late_start_test.cc
+++ b/coltsfoot/jobs/job_owner_late_start_test.cc
@@ -229,6 +229,17 @@
   EXPECT_EQ(journal.table.find(job_name)->tasks[0].phase, task_phase::assigned);
 }
 
+// Guards against a successor that waits long for a start which can't come any more.
+TEST_F(job_owner_late_start_test, the_journal_forgets_a_late_start_that_can_not_come_any_more) {
+  start_with_a_late_order();
+  pass_answering(duration{500});
+  ASSERT_TRUE(task().late_start);
+  pass_answering(late_order_limit);
+  EXPECT_FALSE(task().late_start);
+  EXPECT_EQ(task().phase, task_phase::assigned);
+  EXPECT_TRUE(owner_->is_recorded(job_name));
+}
+
 // Guards against transfers of a worker whose next owner would not know of the start.
 TEST_F(job_owner_late_start_test, a_worker_with_a_late_start_stays_in_its_shard) {
   start_with_a_late_order();
--- a/coltsfoot/lease/unanswered_starts.h
+++ b/coltsfoot/lease/unanswered_starts.h
@@ -77,10 +77,11 @@
     return until;
   }
   // Whether an order is late and no answer to it is awaited any more, so that a successor has to
-  // know of it.
-  bool is_to_be_recorded(time_point outlived) const {
-    return std::any_of(open_.begin(), open_.end(), [outlived](const auto& order) {
-      return order.given_up && order.sent_at < outlived;
+  // know of it for as long as it can be carried out.
+  bool is_to_be_recorded(time_point outlived, time_point now) const {
+    if (adopted_late_ && now < *adopted_at_ + late_order_limit) return true;
+    return std::any_of(open_.begin(), open_.end(), [&](const auto& order) {
+      return order.given_up && order.sent_at < outlived && now < order.sent_at + late_order_limit;
     });
   }
 
--- a/coltsfoot/lease/unanswered_starts_test.cc
+++ b/coltsfoot/lease/unanswered_starts_test.cc
@@ -49,15 +49,16 @@
   starts.on_sent(start);
   starts.on_given_up(start);
   EXPECT_EQ(starts.late_until(start), time_point{});
-  EXPECT_FALSE(starts.is_to_be_recorded(start));
+  EXPECT_FALSE(starts.is_to_be_recorded(start, start));
   EXPECT_EQ(starts.late_until(start + second), start + late_order_limit);
-  EXPECT_TRUE(starts.is_to_be_recorded(start + second));
+  EXPECT_TRUE(starts.is_to_be_recorded(start + second, start + second));
+  EXPECT_FALSE(starts.is_to_be_recorded(start + second, start + late_order_limit));
 }
 
 TEST(unanswered_starts_test, an_order_whose_answer_is_awaited_is_not_recorded) {
   unanswered_starts starts;
   starts.on_sent(start);
-  EXPECT_FALSE(starts.is_to_be_recorded(start + second));
+  EXPECT_FALSE(starts.is_to_be_recorded(start + second, start + second));
 }
 
 TEST(unanswered_starts_test, orders_of_a_former_owner_are_late_only_if_it_has_said_so) {
