Job owner: note no late start of a task that is done

Cause: the end of a run that is done was noted as well, though its task gets no other run. It kept the worker from being transferred for up to 12 s, and late_starts_total counted it. Found by reading the change again. A run of a long-running task that ends done is still noted: the task goes on.

Result: job_owner_late_start_test, job_worker_failure_test and job_owner_test pass.

--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -390,7 +390,7 @@
   const auto taken = now - began;
   if (row.end == run_end::done) learn_speed(*run, now);
   run->starts.on_listed();
-  note_late_start(link, key, *run, now);
+  if (row.end != run_end::done || run->long_running) note_late_start(link, key, *run, now);
   link.remove(key);
   auto* j = table_.find(key.job);
   if (j == nullptr || j->ended()) return;
