Shards: one list of usable workers, and one rule on places

The registry was filtered in two places by the same four conditions, and places were summed up in two ways, for the owner's links and for the listings. usable_workers and have_places stand for them now. The two reasons for which a silent worker keeps a run have names of their own.

No change of what is decided. rare_kind_test, shard_balance_test, shard_rooms_test, shard_room_test, absent_task_test, worker_fit_test, job_owner_late_start_test, job_owner_restart_test, job_worker_failure_test, evacuation_test and job_shards_test pass.

--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -121,6 +121,12 @@
   void hand_listing(const worker_listing& listing);
   void hand_all_listings();
   void balance_shards();
+  // The listed workers that may get new tasks, and their shards.
+  struct usable_worker {
+    shard_number shard = first_shard;
+    const worker_listing* listing = nullptr;
+  };
+  std::vector<usable_worker> usable_workers() const;
   std::vector<shard_load> shard_loads() const;
   void give_workers(job_shard& giver, std::vector<shard_load>& loads);
   resources plausible_worker_capacity() const;
--- a/coltsfoot/jobs/job_node_balance.cc
+++ b/coltsfoot/jobs/job_node_balance.cc
@@ -26,20 +26,29 @@
   return plausible_capacity(capacities);
 }
 
-// By shard; workers on their way to another shard count there.
-std::vector<shard_load> job_node::shard_loads() const {
-  std::vector<shard_load> loads(shards_.size());
-  resources largest;
+std::vector<job_node::usable_worker> job_node::usable_workers() const {
+  std::vector<usable_worker> usable;
   const auto plausible = plausible_worker_capacity();
   for (const auto& [id, listing] : registry_) {
     const auto place = place_of(listing);
     if (!place || listing.draining || !listing.capacity.fits_in(plausible)) continue;
     if (context_.evacuated.contains(listing.zone)) continue;
-    loads[place->shard].capacity += listing.capacity;
-    ++loads[place->shard].workers;
-    largest.millicores = std::max(largest.millicores, listing.capacity.millicores);
-    largest.memory_mb = std::max(largest.memory_mb, listing.capacity.memory_mb);
-    largest.accelerators = std::max(largest.accelerators, listing.capacity.accelerators);
+    usable.push_back({.shard = place->shard, .listing = &listing});
+  }
+  return usable;
+}
+
+// By shard; workers on their way to another shard count there.
+std::vector<shard_load> job_node::shard_loads() const {
+  std::vector<shard_load> loads(shards_.size());
+  resources largest;
+  for (const auto& [shard, listing] : usable_workers()) {
+    const auto& capacity = listing->capacity;
+    loads[shard].capacity += capacity;
+    ++loads[shard].workers;
+    largest.millicores = std::max(largest.millicores, capacity.millicores);
+    largest.memory_mb = std::max(largest.memory_mb, capacity.memory_mb);
+    largest.accelerators = std::max(largest.accelerators, capacity.accelerators);
   }
   const auto rooms = listed_rooms();
   for (const auto& shard : shards_) {
--- a/coltsfoot/jobs/job_node_handovers.cc
+++ b/coltsfoot/jobs/job_node_handovers.cc
@@ -167,16 +167,10 @@
   }
 }
 
-// The workers that may get new tasks, as if nothing ran there.
+// The usable workers, as if nothing ran there.
 shard_rooms job_node::listed_rooms() const {
   shard_rooms rooms{shards_.size()};
-  const auto plausible = plausible_worker_capacity();
-  for (const auto& [id, listing] : registry_) {
-    const auto place = place_of(listing);
-    if (!place || listing.draining || !listing.capacity.fits_in(plausible)) continue;
-    if (context_.evacuated.contains(listing.zone)) continue;
-    rooms.add_worker(place->shard, listing);
-  }
+  for (const auto& [shard, listing] : usable_workers()) rooms.add_worker(shard, *listing);
   return rooms;
 }
 
--- a/coltsfoot/jobs/job_owner_handovers.cc
+++ b/coltsfoot/jobs/job_owner_handovers.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include "coltsfoot/base/log_text.h"
@@ -62,14 +63,11 @@
 }
 
 bool job_owner::can_ever_run(const step_spec& step, const service_id& service) const {
-  auto needed = places_needed(step);
-  for (const auto& [id, link] : links_) {
-    if (!link.listed || link.evacuated) continue;
-    const auto places = places_on(*link.listing, step, service);
-    if (places >= needed) return true;
-    needed -= places;
-  }
-  return false;
+  const auto listed = [](const worker_link& link) { return link.listed && !link.evacuated; };
+  const auto listing = [](const worker_link& link) -> const auto& { return *link.listing; };
+  return have_places(
+      std::views::values(links_) | std::views::filter(listed) | std::views::transform(listing),
+      step, service);
 }
 
 std::vector<job_owner::waiting_step> job_owner::steps_without_worker(time_point now) {
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -137,9 +137,10 @@
   std::vector<task_key> over;
   for (const auto& [key, run] : link.runs) {
     const auto late_until = run.starts.late_until(link.outlived);
-    const bool gone =
-        !may_run_in_unheard_life(link, run) || now >= unheard_life_over(link, late_until);
-    if (gone && (is_doubt_over || run.start_is_over(now))) over.push_back(key);
+    const bool may_run_unheard =
+        may_run_in_unheard_life(link, run) && now < unheard_life_over(link, late_until);
+    const bool may_run_in_doubt = !is_doubt_over && !run.start_is_over(now);
+    if (!may_run_unheard && !may_run_in_doubt) over.push_back(key);
   }
   if (is_doubt_over && !link.runs.empty() && over.size() == link.runs.size()) {
     return end_life(link, "lease_lapsed", now);
--- a/coltsfoot/jobs/shard_rooms.cc
+++ b/coltsfoot/jobs/shard_rooms.cc
@@ -1,6 +1,7 @@
 #include "coltsfoot/jobs/shard_rooms.h"
 
 #include <algorithm>
+#include <ranges>
 
 #include "coltsfoot/jobs/worker_fit.h"
 
@@ -77,11 +78,8 @@
 }
 
 bool shard_rooms::has_places(shard_number shard, const task_need& need) const {
-  std::uint64_t places = 0;
-  return std::any_of(workers_.at(shard).begin(), workers_.at(shard).end(), [&](const auto& worker) {
-    places += places_on(*worker.listing, *need.step, need.service);
-    return places >= places_needed(*need.step);
-  });
+  const auto listing = [](const room& worker) -> const auto& { return *worker.listing; };
+  return have_places(workers_.at(shard) | std::views::transform(listing), *need.step, need.service);
 }
 
 std::optional<shard_number> shard_rooms::able_shard(const task_need& need, shard_number own) const {
