--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -315,8 +315,8 @@
   // Late starts.
   void note_late_start(const worker_link& link, const task_key& key, const placed_run& run,
                        time_point now);
-  void record_late_start(const worker_link& link, const task_key& key, const placed_run& run,
-                         time_point now);
+  void record_late_start(job& j, const worker_link& link, const task_key& key,
+                         const placed_run& run, time_point now);
   bool keep_with_worker(job& j, task_index index);
   void settle_late_starts(const worker_link& link, const std::set<run_ref>& listed,
                           time_point sent_at, time_point now);
--- a/coltsfoot/jobs/job_owner_late_starts.cc
+++ b/coltsfoot/jobs/job_owner_late_starts.cc
@@ -38,15 +38,14 @@
 
 // A successor would take the start for one that can't be late, or wait long for one that can't come
 // any more.
-void job_owner::record_late_start(const worker_link& link, const task_key& key,
+void job_owner::record_late_start(job& j, const worker_link& link, const task_key& key,
                                   const placed_run& run, time_point now) {
-  auto* j = table_.find(key.job);
-  if (j == nullptr || j->ended()) return;
-  auto& recorded = j->tasks[key.index].late_start;
+  if (j.ended()) return;
+  auto& recorded = j.tasks[key.index].late_start;
   const bool late = run.starts.is_to_be_recorded(link.outlived, now) || late_starts_.contains(key);
   if (recorded == late) return;
   recorded = late;
-  mark_changed(*j);
+  mark_changed(j);
 }
 
 // Whether the next run of a task without a run has to be where the former one was.
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -370,8 +370,9 @@
   }
   run->listed = true;
   run->starts.on_listed();
-  record_late_start(link, key, *run, now);
-  mark_started(*table_.find(key.job));
+  auto& j = *table_.find(key.job);
+  mark_started(j);
+  record_late_start(j, link, key, *run, now);
   note_progress(*run, row.percent, now);
   if (row.percent != run->percent || run->progressed_at == time_point{}) {
     run->percent = row.percent;
