--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -195,8 +195,11 @@
     stats_.job_age.record(wall_ - j.accepted.accepted_at);
   }
   if (outcome == job_outcome::failed) ++stats_.failed;
-  log(severity::info, fmt::format("event=job_ended job={} state={} age_ms={}", log_value(id.value),
-                                  name_of(state_of(j)), (wall_ - j.accepted.accepted_at).count()));
+  log(severity::info,
+      fmt::format("event=job_ended job={} state={} age_ms={} queue={} due_in_ms={}",
+                  log_value(id.value), name_of(state_of(j)),
+                  (wall_ - j.accepted.accepted_at).count(), log_value(j.accepted.queue.value),
+                  (due_time(j) - wall_).count()));
 }
 
 void job_owner::on_task_done(job& j, task_index index, time_point now) {
--- a/coltsfoot/jobs/job_owner_workers.cc
+++ b/coltsfoot/jobs/job_owner_workers.cc
@@ -389,7 +389,11 @@
   const bool wanted = run->stop_wanted;
   const auto began = run->began;
   const auto taken = now - began;
+  const bool confirmed = run->confirmed_at >= began;
+  const auto until_confirmed = confirmed ? run->confirmed_at - began : duration{-1};
   if (row.end == run_end::done) learn_speed(*run, now);
+  const auto pace = run->pace;
+  const auto full_pace = run->progress.is_known() ? run->progress.full_pace_time() : duration{-1};
   run->starts.on_listed();
   if (row.end != run_end::done || run->long_running) note_late_start(link, key, *run, now);
   link.remove(key);
@@ -399,9 +403,10 @@
   const auto& step = j->step_of(row.run.task);
   log(severity::info,
       fmt::format("event=run_ended {} worker={} end={} number={} stop_wanted={} took_ms={} "
-                  "estimated_ms={}",
+                  "estimated_ms={} confirmed_ms={} full_pace_ms={} pace={}",
                   log_text(row.run), log_value(link.life.worker.value), name_of(row.end),
-                  row.number, wanted, taken.count(), step.estimate.count()));
+                  row.number, wanted, taken.count(), step.estimate.count(), until_confirmed.count(),
+                  full_pace.count(), pace));
   switch (row.end) {
     case run_end::done:
       ++stats_.ends_done;
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -20,6 +20,9 @@
   return stable_hash(std::to_string(life), std::to_string(claims)) % range;
 }
 
+// Between two lines of an owner about its appends.
+constexpr duration load_interval{1'000};
+
 }  // namespace
 
 job_shard::job_shard(node_context& context, shard_number number)
@@ -49,7 +52,9 @@
 
 void job_shard::on_tick(duration own_delay) {
   expire_caller_appends();
-  if (owner_) owner_->tick(context_.now, context_.wall, own_delay);
+  if (!owner_) return;
+  owner_->tick(context_.now, context_.wall, own_delay);
+  log_journal_load();
 }
 
 void job_shard::on_pause() {
@@ -346,6 +351,7 @@
   }
   if (!owner_batch_open_) return;
   owner_append_call_ = context_.new_call();
+  owner_append_sent_ = context_.now;
   ++context_.stats.appends;
   owner_part_end_ = end_of_append(owner_batch_, owner_part_begin_, context_.options.store);
   const auto part =
@@ -365,8 +371,29 @@
   }
 }
 
+void job_shard::note_owner_append(append_verdict verdict) {
+  ++journal_load_.appends;
+  journal_load_.longest = std::max(journal_load_.longest, context_.now - owner_append_sent_);
+  if (verdict != append_verdict::recorded) return;
+  ++journal_load_.recorded;
+  journal_load_.records += owner_part_end_ - owner_part_begin_;
+}
+
+void job_shard::log_journal_load() {
+  if (context_.now < next_journal_load_) return;
+  next_journal_load_ = context_.now + load_interval;
+  const auto load = std::exchange(journal_load_, {});
+  const auto under_way = owner_append_call_ == 0 ? duration{0} : context_.now - owner_append_sent_;
+  log(severity::info,
+      fmt::format("event=owner_journal appends={} recorded={} records={} longest_ms={} "
+                  "under_way_ms={}",
+                  load.appends, load.recorded, load.records, load.longest.count(),
+                  under_way.count()));
+}
+
 void job_shard::on_owner_append_ended(append_verdict verdict) {
   owner_append_call_ = 0;
+  if (owner_) note_owner_append(verdict);
   if (!owner_) return;
   switch (verdict) {
     case append_verdict::recorded:
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -96,6 +96,14 @@
     bool doubtful = false;  // an append of it may have been recorded
   };
 
+  // The appends of the owner since the last line of the log that tells of them.
+  struct journal_load {
+    std::size_t appends = 0;
+    std::size_t recorded = 0;
+    std::size_t records = 0;  // of the recorded appends
+    duration longest{0};      // from sending an append to its result
+  };
+
   // Callers' records.
   void refuse(call_id call, caller_verdict verdict, std::string detail);
   void answer_unknown(call_id call);
@@ -124,6 +132,8 @@
   void write_owner_batch();
   bool take_owner_batch();
   void on_owner_append_ended(append_verdict verdict);
+  void note_owner_append(append_verdict verdict);
+  void log_journal_load();
   void apply_transfers(const std::vector<keyed_record>& records);
 
   void log(severity level, const std::string& text) const;
@@ -163,6 +173,9 @@
   // A batch beyond what the store takes at once is appended in parts.
   std::size_t owner_part_begin_ = 0;
   std::size_t owner_part_end_ = 0;
+  time_point owner_append_sent_{};  // when the newest append of the owner was sent
+  journal_load journal_load_;
+  time_point next_journal_load_{};
   time_point next_owner_append_{};
   duration append_gap_{0};
   time_point last_owner_record_{};
