Tests: load beside a store that is slow and takes one append at a time (red)

The virtual store answered each append after the same time, however many were under way, so that no test could show it.

--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -338,6 +338,14 @@
   return sum;
 }
 
+std::uint64_t virtual_fleet::takeovers() const {
+  std::uint64_t sum = 0;
+  for (const auto& node : nodes_) {
+    if (node.core) sum += node.core->stats().takeovers;
+  }
+  return sum;
+}
+
 // --- Callers ---
 
 call_id virtual_fleet::ask(int node, const std::string& id, jobs::caller_action action,
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -34,8 +34,11 @@
   duration latest_order{6'000};    // how much later at the most, at least 2 s
   double slow_looks = 0;           // share of looks that spend most of their time in transit
   double lost_append_answers = 0;  // share of appends that succeed but are not answered
-  double compacted_appends = 0;    // share of appends after which the store drops its history
-  double failing_tasks = 0;        // share of runs that end failed
+  // Whether the store carries out the appends to a journal one at a time, and refuses those that
+  // would wait for more than 2 s.
+  bool serial_appends = false;
+  double compacted_appends = 0;  // share of appends after which the store drops its history
+  double failing_tasks = 0;      // share of runs that end failed
   std::uint32_t max_attempts = 3;
   // Of the queue: a job is due after its longest chain of work times the factor, and the target.
   double slack_factor = 1;
@@ -121,6 +124,8 @@
   time_point now() const { return now_; }
   const std::set<std::string>& broken() const { return violations_; }
   std::size_t starts() const { return starts_; }
+  // Takeovers of shards by the nodes that run.
+  std::uint64_t takeovers() const;
   // Runs that ended because their lease was over.
   std::size_t lapsed() const;
   // Records whether long-running tasks of accepted jobs ran whenever there was capacity for them.
@@ -168,6 +173,7 @@
   void execute(int node, jobs::node_command command);
   void run(int node, const jobs::answer_caller_call& c);
   void run(int node, const jobs::append_to_jobs& c);
+  void append_in_turn(int node, const jobs::append_to_jobs& c);
   void run(int node, const jobs::read_topic& c);
   void run(int node, const jobs::give_order& c);
   void run(int node, const jobs::ask_peer& c);
@@ -202,6 +208,7 @@
   bool store_down_ = false;
   bool config_readable_ = true;
   duration append_time_{5};
+  std::map<jobs::shard_number, time_point> journal_free_at_;  // with appends one at a time
   bool late_caller_appends_ = false;
   std::function<void(const jobs::run_ref&)> stop_hook_;
   std::vector<node_state> nodes_;
--- a/tests/jobs/virtual_fleet_commands.cc
+++ b/tests/jobs/virtual_fleet_commands.cc
@@ -13,6 +13,7 @@
 constexpr duration network_delay{1};
 constexpr duration slow_network_delay{600};
 constexpr duration late_append_delay{5'000};
+constexpr duration longest_append_queue{2'000};
 
 // Sizes of orders with their headers, specification included.
 std::size_t bytes_of(const jobs::worker_order& order) {
@@ -84,6 +85,7 @@
                          jobs::append_ended{.call = c.call, .verdict = append_verdict::unknown});
   }
   after(send_delay(node, bytes_of(c.records)), [this, node, c] {
+    if (options_.serial_appends) return append_in_turn(node, c);
     const auto verdict = store_.append(c);
     if (chance(options_.compacted_appends)) store_.compact();
     if (chance(options_.lost_append_answers)) {
@@ -97,6 +99,27 @@
   });
 }
 
+void virtual_fleet::append_in_turn(int node, const jobs::append_to_jobs& c) {
+  // The answer takes as long as the append.
+  auto& free_at = journal_free_at_[c.shard];
+  const auto begins = std::max(now_, free_at);
+  if (begins - now_ > longest_append_queue) {
+    return deliver_after(
+        node, network_delay,
+        jobs::append_ended{.call = c.call, .verdict = append_verdict::not_recorded});
+  }
+  free_at = begins + append_time_;
+  const bool answered = free_at + append_time_ - now_ < c.timeout;
+  after(free_at - now_, [this, node, c, answered] {
+    const auto verdict = store_.append(c);
+    if (!answered) return;
+    deliver_after(node, append_time_, jobs::append_ended{.call = c.call, .verdict = verdict});
+  });
+  if (answered) return;
+  deliver_after(node, c.timeout,
+                jobs::append_ended{.call = c.call, .verdict = append_verdict::unknown});
+}
+
 void virtual_fleet::run(int node, const jobs::read_topic& c) {
   const auto* tail = std::get_if<jobs::tail_request>(&c.request);
   const auto wait = tail == nullptr ? duration{0} : tail->wait;
