Shards: the owner records what callers ask for at any node

Each node appended by itself what its callers asked for; with 36 nodes and a store 69 times as slow these appends queue past 2 s, where the store refuses all, the owner's too. What got no answer within 1 s was repeated while the former append still waited. Owners fell silent, and claims queued as well.

Change: a node asks the owner of the shard to record its callers' records. It tries such a record once and gives it back if the append fails, since it must not be recorded much later than its caller was told. Without an answer, or refused, the node appends by itself as before; these appends are spaced out now when they fail. A late answer to an append of the owner doubles its timeout.

Tests that are changed, with every check as it was: those that play an append for callers without an answer now use a node that does not reach the owner, as such appends are sent by no other node any more; the series of faults waits until its long-running job is accepted before the first fault, since a job whose caller got no answer may be lost with the owner.

--- a/coltsfoot/jobs/job_node.h
+++ b/coltsfoot/jobs/job_node.h
@@ -81,6 +81,7 @@
   // Answers a caller whose cancellation was not recorded.
   void refuse_cancel(call_id call);
   void query(const caller_request& request, const job_id& id);
+  void commit_records(call_id call, const journal_records& message);
   void answer_state(call_id call, const job_id& id);
   std::size_t pending(const queue_id& queue) const;
   std::size_t bytes_of_jobs() const;
--- a/coltsfoot/jobs/job_node_callers.cc
+++ b/coltsfoot/jobs/job_node_callers.cc
@@ -260,6 +260,9 @@
     return context_.push(
         answer_peer{.call = event.call, .reply = job_notice_reply{.taken = known}});
   }
+  if (const auto* commit = std::get_if<journal_records>(&event.request)) {
+    return commit_records(event.call, *commit);
+  }
   if (const auto* query = std::get_if<job_query>(&event.request)) {
     const bool owned = query->shard < shards_.size() && shards_[query->shard]->is_owner();
     job_query_reply reply{.owner = owned};
@@ -273,7 +276,21 @@
   context_.push(refuse_peer{.call = event.call});
 }
 
+void job_node::commit_records(call_id call, const journal_records& message) {
+  if (message.shard >= shards_.size()) {
+    const journal_records_reply reply{.fate = record_fate::not_recorded};
+    return context_.push(answer_peer{.call = call, .reply = reply});
+  }
+  std::vector<keyed_record> records;
+  records.reserve(message.records.size());
+  for (const auto& [key, value] : message.records) records.push_back({.key = key, .value = value});
+  shards_[message.shard]->on_commit_request(call, std::move(records));
+}
+
 void job_node::on(const peer_answered& event) {
+  for (auto& shard : shards_) {
+    if (shard->on_peer_answered(event)) return;
+  }
   const auto found = peer_queries_.find(event.call);
   if (found == peer_queries_.end()) return;  // the result of a notice
   const auto query = found->second;
--- a/coltsfoot/jobs/job_record.cc
+++ b/coltsfoot/jobs/job_record.cc
@@ -273,6 +273,10 @@
   return record.key.starts_with(transfer_prefix);
 }
 
+bool is_caller_record(const keyed_record& record) {
+  return record.key.starts_with(acceptance_prefix) || record.key.starts_with(cancellation_prefix);
+}
+
 std::vector<keyed_record> removal_records(const job& j) {
   const auto& id = j.accepted.id;
   std::vector<keyed_record> records;
--- a/coltsfoot/jobs/job_record.h
+++ b/coltsfoot/jobs/job_record.h
@@ -71,6 +71,8 @@
 keyed_record transfer_record(const worker_transfer& transfer);
 keyed_record witness_record(const std::set<worker_life>& witnesses);
 bool is_transfer(const keyed_record& record);
+// Whether the record is one that is made for callers: of an acceptance or a cancellation.
+bool is_caller_record(const keyed_record& record);
 
 // The job that a key names; empty if it names none.
 std::string_view job_in_key(std::string_view key);
--- a/coltsfoot/jobs/job_shard.cc
+++ b/coltsfoot/jobs/job_shard.cc
@@ -20,6 +20,9 @@
   return stable_hash(std::to_string(life), std::to_string(claims)) % range;
 }
 
+// The timeout of an append that is repeated, as its answer was late, doubles up to this many times.
+constexpr std::uint32_t most_timeout_doublings = 2;
+
 // Between two lines of an owner about its appends.
 constexpr duration load_interval{1'000};
 
@@ -45,8 +48,8 @@
 
 void job_shard::proceed() {
   claim_if_due();
-  run_owner();
   send_caller_appends();
+  run_owner();
   read_journal();
 }
 
@@ -191,6 +194,7 @@
   log(severity::info, fmt::format("event=owner_changed node={} fence={} former_fence={}",
                                   log_value(claim.node), claim.fence, former_fence));
   const bool own = claim.node == context_.options.node && claim.life == context_.options.life;
+  on_owner_replaced();
   if (owner_ && !own) step_down("another_claim");
   claim_won_ = !owner_ && own && pending_claim_ && pending_claim_->fence == claim.fence;
   // A claim of ours below this one will not be read any more.
@@ -267,6 +271,7 @@
   owner_batch_.clear();
   owner_part_begin_ = 0;
   owner_append_call_ = 0;
+  unanswered_appends_ = 0;
   last_owner_record_ = context_.now;
   layout_to_record_.reset();
   layout_sent_ = {};
@@ -297,6 +302,9 @@
   state_.table = {};
   journal_.restart();
   owner_seen_ = context_.now;
+  // An append under way may still be carried out.
+  settle_commits(commit_batch_, record_fate::unknown);
+  settle_commits(commit_queue_, record_fate::not_recorded);
 }
 
 void job_shard::run_owner() {
@@ -340,6 +348,7 @@
   if (auto witnesses = owner_->take_witness_record(context_.now)) {
     owner_batch_.push_back(std::move(*witnesses));
   }
+  take_commits();
   return !owner_batch_.empty();
 }
 
@@ -361,7 +370,7 @@
       .shard = number_,
       .records = {part.begin(), part.end()},
       .sequence = append_sequence{.fence = state_.claim.fence, .number = owner_sequence_},
-      .timeout = context_.options.append_timeout});
+      .timeout = context_.options.append_timeout * (1U << unanswered_appends_)});
 }
 
 // The transfers of an owner count from their record on, not only once it has read them.
@@ -398,6 +407,7 @@
   switch (verdict) {
     case append_verdict::recorded:
       ++owner_sequence_;
+      unanswered_appends_ = 0;
       owner_part_begin_ = owner_part_end_;
       if (owner_part_begin_ < owner_batch_.size()) return;
       owner_part_begin_ = 0;
@@ -409,12 +419,16 @@
       owner_->on_confirmed(owner_batch_sent_);
       owner_->on_witnesses_recorded();
       owner_->on_batch_recorded(context_.now);
+      settle_commits(commit_batch_, record_fate::recorded);
       if (resign_sent_) step_down("resigned");
       return;
     case append_verdict::fenced:
       return step_down("append_fenced");
-    case append_verdict::not_recorded:
     case append_verdict::unknown:
+      unanswered_appends_ = std::min(unanswered_appends_ + 1, most_timeout_doublings);
+      [[fallthrough]];
+    case append_verdict::not_recorded:
+      withdraw_commits(verdict);
       // The same number again: the store takes it once.
       next_owner_append_ = context_.now + context_.options.append_retry;
       return;
--- a/coltsfoot/jobs/job_shard.h
+++ b/coltsfoot/jobs/job_shard.h
@@ -29,6 +29,10 @@
   void on_append_ended(const append_ended& event);
   void on_read(topic_read event);
   void on_notice(const keyed_record& record);
+  // Another node asks this one, as the owner, to record what its callers ask for.
+  void on_commit_request(call_id peer_call, std::vector<keyed_record> records);
+  // Returns whether the answer belongs to a call of this shard.
+  bool on_peer_answered(const peer_answered& event);
   // `own_delay`: how late the threads of this node have run lately.
   void on_tick(duration own_delay);
   // Gives the owner the workers of this shard.
@@ -104,6 +108,13 @@
     duration longest{0};      // from sending an append to its result
   };
 
+  // Records of callers that the owner appends with its own next ones: a group commit.
+  struct commit_request {
+    std::optional<call_id> peer_call;  // nothing: of this node's own callers
+    std::vector<keyed_record> records;
+    time_point arrived{};
+  };
+
   // Callers' records.
   void refuse(call_id call, caller_verdict verdict, std::string detail);
   void answer_unknown(call_id call);
@@ -111,6 +122,16 @@
   bool is_expired(const std::string& key, const caller_append& entry) const;
   void answer_unrecorded(const std::string& key, const caller_append& entry);
   void send_caller_appends();
+  void append_for_callers(std::vector<keyed_record> records);
+  bool may_ask_owner() const;
+  void ask_owner_to_commit(std::vector<keyed_record> records);
+  void on_owner_failed(record_fate fate);
+  void on_owner_replaced();
+  void settle_commit(const commit_request& request, record_fate fate);
+  void settle_commits(std::vector<commit_request>& requests, record_fate fate);
+  void drop_late_commits();
+  void take_commits();
+  void withdraw_commits(append_verdict verdict);
   void on_caller_append_ended(append_verdict verdict);
   void expire_caller_appends();
   void notify_owner(const keyed_record& record);
@@ -152,8 +173,17 @@
   std::set<std::string> caller_batch_;                   // keys in the append under way
   // When callers were told that the outcome of a record is unknown, by key.
   std::map<std::string, time_point> unknown_outcomes_;
-  call_id caller_append_call_ = 0;  // 0: none is under way
+  call_id caller_append_call_ = 0;           // 0: none is under way
+  bool committed_by_owner_ = false;          // what is under way was left to another owner
+  std::uint32_t failed_caller_appends_ = 0;  // in a row, of this node's own
   time_point next_caller_append_{};
+  std::uint32_t failed_commits_ = 0;  // in a row, that were left to another owner
+  time_point owner_failed_{};         // when the newest of them failed
+  time_point ask_owner_again_{};
+
+  std::vector<commit_request> commit_queue_;  // for the next batch of the owner
+  std::vector<commit_request> commit_batch_;  // at the end of the present one
+  std::size_t own_records_ = 0;               // of the owner, in the present batch
 
   std::optional<owner_claim> pending_claim_;
   call_id claim_call_ = 0;
@@ -173,7 +203,8 @@
   // A batch beyond what the store takes at once is appended in parts.
   std::size_t owner_part_begin_ = 0;
   std::size_t owner_part_end_ = 0;
-  time_point owner_append_sent_{};  // when the newest append of the owner was sent
+  std::uint32_t unanswered_appends_ = 0;  // in a row, bounded
+  time_point owner_append_sent_{};        // when the newest append of the owner was sent
   journal_load journal_load_;
   time_point next_journal_load_{};
   time_point next_owner_append_{};
--- a/coltsfoot/jobs/job_shard_callers.cc
+++ b/coltsfoot/jobs/job_shard_callers.cc
@@ -14,6 +14,9 @@
 // journal.
 constexpr duration notice_timeout{500};
 
+// The time between two appends for callers that fail doubles up to this many times.
+constexpr std::uint32_t most_append_doublings = 4;
+
 // The store may execute an append that it has not answered this much later.
 constexpr duration late_append_time{10'000};
 
@@ -60,6 +63,18 @@
   records.resize(end_of_append(records, 0, context_.options.store));
   for (const auto& record : records) caller_batch_.insert(record.key);
   caller_append_call_ = context_.new_call();
+  committed_by_owner_ = false;
+  if (owner_ && !resign_sent_) {
+    commit_queue_.push_back(
+        {.peer_call = std::nullopt, .records = std::move(records), .arrived = context_.now});
+  } else if (may_ask_owner()) {
+    ask_owner_to_commit(std::move(records));
+  } else {
+    append_for_callers(std::move(records));
+  }
+}
+
+void job_shard::append_for_callers(std::vector<keyed_record> records) {
   ++context_.stats.appends;
   context_.push(append_to_jobs{.call = caller_append_call_,
                                .shard = number_,
@@ -71,7 +86,9 @@
   caller_append_call_ = 0;
   const auto keys = std::exchange(caller_batch_, {});
   if (verdict != append_verdict::recorded) {
-    next_caller_append_ = context_.now + context_.options.append_retry;
+    const auto doublings = std::min(failed_caller_appends_, most_append_doublings);
+    next_caller_append_ = context_.now + context_.options.append_retry * (1U << doublings);
+    ++failed_caller_appends_;
     for (const auto& key : keys) {
       const auto found = caller_appends_.find(key);
       if (found == caller_appends_.end()) continue;
@@ -79,16 +96,18 @@
     }
     return expire_caller_appends();
   }
+  failed_caller_appends_ = 0;
   for (const auto& key : keys) {
     const auto found = caller_appends_.find(key);
     if (found == caller_appends_.end()) continue;
     const auto entry = std::move(found->second);
     caller_appends_.erase(found);
     log(severity::info,
-        fmt::format("event=caller_record key={} outcome=recorded waited_ms={}",
-                    log_value(entry.record.key), (context_.now - entry.arrived).count()));
+        fmt::format("event=caller_record key={} outcome=recorded waited_ms={} by_owner={}",
+                    log_value(entry.record.key), (context_.now - entry.arrived).count(),
+                    committed_by_owner_));
     apply(entry.record);
-    notify_owner(entry.record);
+    if (!committed_by_owner_) notify_owner(entry.record);
     for (const auto call : entry.calls) context_.answer(call, {.verdict = entry.verdict});
   }
 }
--- a/coltsfoot/model/peer_messages.h
+++ b/coltsfoot/model/peer_messages.h
@@ -302,6 +302,39 @@
 };
 COLTSFOOT_CODEC(job_notice_reply, taken)
 
+// Records that the owner of the shard is to append to its journal with its own next ones. The reply
+// follows once their fate is known.
+struct journal_records {
+  static constexpr std::string_view message_name = "journal_records";
+  struct entry {
+    std::string key;
+    std::string value;
+  };
+  std::uint32_t shard = 0;
+  std::vector<entry> records;
+};
+COLTSFOOT_CODEC(journal_records::entry, key, value)
+COLTSFOOT_CODEC(journal_records, shard, records)
+
+enum class record_fate {
+  recorded,
+  not_recorded,  // certainly not, and they never will be
+  unknown        // may be recorded, also later
+};
+template <>
+struct enum_names<record_fate> {
+  static constexpr std::array table{
+      std::pair{record_fate::recorded, std::string_view{"recorded"}},
+      std::pair{record_fate::not_recorded, std::string_view{"not_recorded"}},
+      std::pair{record_fate::unknown, std::string_view{"unknown"}}};
+};
+
+struct journal_records_reply {
+  static constexpr std::string_view message_name = "journal_records_reply";
+  record_fate fate = record_fate::unknown;
+};
+COLTSFOOT_CODEC(journal_records_reply, fate)
+
 struct job_query {
   static constexpr std::string_view message_name = "job_query";
   std::uint32_t shard = 0;
@@ -317,9 +350,10 @@
 };
 COLTSFOOT_CODEC(job_query_reply, owner, known, state)
 
-using peer_request = std::variant<gossip, fetch_config, submit_tasks, query_status, cancel_tasks,
-                                  run_request_once, place_task, query_tasks, stop_task,
-                                  task_updates, forward_request, job_notice, job_query>;
+using peer_request =
+    std::variant<gossip, fetch_config, submit_tasks, query_status, cancel_tasks, run_request_once,
+                 place_task, query_tasks, stop_task, task_updates, forward_request, job_notice,
+                 job_query, journal_records>;
 
 // Reply of a node that does not own the unit a request was addressed to.
 struct not_owner_reply {
@@ -333,7 +367,7 @@
     std::variant<gossip_reply, fetch_config_reply, submit_tasks_reply, query_status_reply,
                  cancel_tasks_reply, request_reply, place_task_reply, query_tasks_reply,
                  stop_task_reply, task_updates_reply, not_owner_reply, job_notice_reply,
-                 job_query_reply>;
+                 job_query_reply, journal_records_reply>;
 
 // Why a peer request got no reply.
 enum class peer_failure {
--- a/coltsfoot/node/node_core.h
+++ b/coltsfoot/node/node_core.h
@@ -110,6 +110,7 @@
   // Jobs of a fleet belong to `jobs::job_node`, which runs in another program.
   void receive(call_id call, const job_notice& message, time_point now);
   void receive(call_id call, const job_query& message, time_point now);
+  void receive(call_id call, const journal_records& message, time_point now);
   template <typename Message>
   void receive(call_id call, const Message& message, time_point now);
 
--- a/coltsfoot/node/node_core_peers.cc
+++ b/coltsfoot/node/node_core_peers.cc
@@ -53,6 +53,10 @@
   out_.push(refuse_peer_request{.call = call});
 }
 
+void node_core::receive(call_id call, const journal_records& /*message*/, time_point /*now*/) {
+  out_.push(refuse_peer_request{.call = call});
+}
+
 template <typename Message>
 void node_core::receive(call_id call, const Message& message, time_point now) {
   const auto pass_on = [&](auto& unit, unit_context& context) {
--- a/tests/jobs/job_cancellation_test.cc
+++ b/tests/jobs/job_cancellation_test.cc
@@ -49,21 +49,31 @@
   }
 }
 
+// The node that takes the job. It owns no shard.
+constexpr int taker = 3;
+
+fleet_options with_taker() {
+  return {.nodes = 4, .strengths = {500, 500, 500, 100}};
+}
+
 // Submits a job whose acceptance the store records after the caller was told that its outcome is
-// unknown, and returns that answer.
+// unknown, and returns that answer. The taker does not reach the owner.
 const jobs::caller_answer* submit_with_late_record(virtual_fleet& fleet, const std::string& id) {
+  EXPECT_EQ(fleet.node(taker).owned_shards(), 0U);
+  fleet.cut_peers(true);
   fleet.set_late_caller_appends(true);
-  const auto submitted = fleet.submit(0, id, two_steps(2));
+  const auto submitted = fleet.submit(taker, id, two_steps(2));
   fleet.run_until([&] { return fleet.answer_of(submitted) != nullptr; }, duration{4'000});
   fleet.set_late_caller_appends(false);
+  fleet.cut_peers(false);
   return fleet.answer_of(submitted);
 }
 
 // Guards against a cancellation that is answered before the outcome of the acceptance is known,
 // at the node that took the job and at others.
 TEST(job_fleet_test, a_cancellation_holds_for_a_job_whose_acceptance_is_recorded_later) {
-  for (const int node : {0, 1, 2}) {
-    virtual_fleet fleet{{}};
+  for (const int node : {0, 1, 2, taker}) {
+    virtual_fleet fleet{with_taker()};
     wait_until_settled(fleet);
     const auto* answer = submit_with_late_record(fleet, "j");
     ASSERT_NE(answer, nullptr);
@@ -81,7 +91,10 @@
 // The shard of an unknown job is not known either: the cancellation has to hold in all of them.
 TEST(job_fleet_test, a_cancellation_holds_in_each_shard_for_a_job_that_is_recorded_later) {
   for (int number = 0; number < 4; ++number) {
-    virtual_fleet fleet{{.workers = 12, .workers_per_shard = 4}};
+    auto options = with_taker();
+    options.workers = 12;
+    options.workers_per_shard = 4;
+    virtual_fleet fleet{options};
     wait_until_settled(fleet);
     ASSERT_EQ(fleet.node(0).shards().size(), 3U);
     const auto id = "j" + std::to_string(number);
@@ -98,12 +111,12 @@
 
 // Guards against telling a caller that a job doesn't exist while its acceptance may come.
 TEST(job_fleet_test, the_state_of_a_job_is_not_denied_while_its_acceptance_may_come) {
-  virtual_fleet fleet{{}};
+  virtual_fleet fleet{with_taker()};
   wait_until_settled(fleet);
   const auto* answer = submit_with_late_record(fleet, "j");
   ASSERT_NE(answer, nullptr);
   ASSERT_EQ(answer->verdict, caller_verdict::outcome_unknown);
-  const auto asked = fleet.query(0, "j");
+  const auto asked = fleet.query(taker, "j");
   fleet.run_for(duration{500});
   ASSERT_NE(fleet.answer_of(asked), nullptr);
   EXPECT_EQ(fleet.answer_of(asked)->verdict, caller_verdict::gone_wrong);
--- a/tests/jobs/job_fault_series_test.cc
+++ b/tests/jobs/job_fault_series_test.cc
@@ -50,7 +50,10 @@
                          .max_attempts = 6}};
     random_engine random{seed};
     wait_until_settled(fleet);
-    fleet.submit(0, "long", long_running_job(3));
+    const auto long_job = fleet.submit(0, "long", long_running_job(3));
+    ASSERT_TRUE(
+        fleet.run_until([&] { return fleet.answer_of(long_job) != nullptr; }, duration{3'000}));
+    ASSERT_EQ(fleet.answer_of(long_job)->verdict, caller_verdict::accepted);
     int next_job = 0;
     std::vector<std::pair<call_id, std::string>> submitted;
     for (int round = 0; round < 25; ++round) {
--- a/tests/jobs/job_shards_test.cc
+++ b/tests/jobs/job_shards_test.cc
@@ -127,16 +127,22 @@
     const auto submit_all = [&](int node) {
       for (int i = 0; i < 6; ++i) fleet.submit(node, "j" + std::to_string(i), spec);
     };
+    // A node that owns no shard, and does not reach those that do.
+    int taker = 0;
+    while (taker < 2 && fleet.node(taker).owned_shards() > 0) ++taker;
+    ASSERT_EQ(fleet.node(taker).owned_shards(), 0U) << "seed " << seed;
+    fleet.cut_peers(true);
     fleet.set_late_caller_appends(true);
-    submit_all(0);
+    submit_all(taker);
     fleet.run_for(duration{300});
     fleet.set_late_caller_appends(false);
+    fleet.cut_peers(false);
     show_last_rack(true);
     const auto is_known = [&] {
       return fleet.node(1).shards().front()->layout().shard_of_rack(spec.steps[0].data_label);
     };
     ASSERT_TRUE(fleet.run_until([&] { return is_known().has_value(); }, duration{4'000}));
-    submit_all(1);
+    submit_all((taker + 1) % 3);
     fleet.run_for(duration{8'000});
     EXPECT_EQ(fleet.starts(), 12U) << "seed " << seed;
     EXPECT_TRUE(fleet.broken().empty()) << *fleet.broken().begin() << " seed " << seed;
--- a/tests/jobs/node_shutdown_test.cc
+++ b/tests/jobs/node_shutdown_test.cc
@@ -129,6 +129,7 @@
 int node_close_to_its_end(virtual_fleet& fleet) {
   const int node = (fleet.owner() + 1) % 3;
   fleet.set_append_time(duration{60'000});
+  fleet.cut_peers(true);
   fleet.ask_shutdown(node);
   fleet.run_for(duration{2'000});
   fleet.submit(node, "open", short_job());
@@ -173,6 +174,7 @@
     virtual_fleet fleet{{}};
     prepare(fleet);
     const int node = (fleet.owner() + 1) % 3;
+    fleet.cut_peers(true);
     fleet.set_late_caller_appends(true);
     if (shutting_down) fleet.ask_shutdown(node);
     const auto first = fleet.submit(node, "j", short_job());
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -90,6 +90,8 @@
   void ask_shutdown(int node);
   // From when an append is recorded until its answer arrives.
   void set_append_time(duration time) { append_time_ = time; }
+  // While set, no node reaches another one, so that each appends for its callers by itself.
+  void cut_peers(bool cut) { peers_cut_ = cut; }
   // While set, appends for callers are not answered and are executed seconds later.
   void set_late_caller_appends(bool late) { late_caller_appends_ = late; }
   void set_worker_reachable(int worker, bool reachable);
@@ -124,6 +126,8 @@
   time_point now() const { return now_; }
   const std::set<std::string>& broken() const { return violations_; }
   std::size_t starts() const { return starts_; }
+  // Appends that the store has carried out.
+  std::size_t appends() const { return store_.appends(); }
   // Takeovers of shards by the nodes that run.
   std::uint64_t takeovers() const;
   // Runs that ended because their lease was over.
@@ -210,6 +214,7 @@
   duration append_time_{5};
   std::map<jobs::shard_number, time_point> journal_free_at_;  // with appends one at a time
   bool late_caller_appends_ = false;
+  bool peers_cut_ = false;
   std::function<void(const jobs::run_ref&)> stop_hook_;
   std::vector<node_state> nodes_;
   std::vector<worker_state> workers_;
--- a/tests/jobs/virtual_fleet_commands.cc
+++ b/tests/jobs/virtual_fleet_commands.cc
@@ -229,6 +229,11 @@
 }
 
 void virtual_fleet::run(int node, const jobs::ask_peer& c) {
+  if (peers_cut_) {
+    return deliver_after(
+        node, network_delay,
+        jobs::peer_answered{.call = c.call, .result = tl::unexpected(peer_failure::not_processed)});
+  }
   const int receiver = std::stoi(c.address);
   after(network_delay, [this, node, receiver, c] {
     const auto& state = nodes_.at(static_cast<std::size_t>(receiver));
