Start window: starts that wait for their record are not bounded by it alone

While an append takes half a second, an owner started at most 64 to 81 tasks a second (a quarter of the usual), although workers answered within 8 ms.

Cause: the window bounds the starts that are under way to workers, and also bounded those that are decided for one append. The next batch was decided in the moment in which the former one had just been sent and filled the window, so that every other append carried no start.

Change: what is decided now can be sent only once it is recorded; in that time the window lets through its size again for each 200 ms, after which an answer counts as late. With a store at its usual speed (4 to 17 ms an append) nothing changes.

--- a/coltsfoot/jobs/job_owner.cc
+++ b/coltsfoot/jobs/job_owner.cc
@@ -303,6 +303,7 @@
 
 void job_owner::on_batch_recorded(time_point now) {
   const auto effects = std::exchange(in_flight_, {});
+  if (!effects.starts.empty()) record_time_ = now - effects.decided_at;
   for (const auto& start : effects.starts) {
     const auto link = links_.find(start.worker);
     if (link == links_.end()) continue;
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -262,6 +262,7 @@
   // What may be done once the batch that it belongs to is recorded.
   struct recorded_effects {
     std::vector<recorded_start> starts;
+    time_point decided_at{};                    // when the newest of the starts was
     std::map<worker_life, std::uint64_t> ends;  // highest number by life: each life counts anew
     std::set<job_id> jobs;
     std::vector<worker_transfer> transfers;
@@ -419,6 +420,7 @@
   std::map<service_id, short_task_figures> unplaced_short_;  // of the present placing pass
   std::map<service_id, short_task_demand> short_demands_;
   std::size_t starts_left_ = 0;  // that the present placing pass may still decide
+  duration record_time_{0};      // from the decision to the record of the newest recorded starts
   std::set<job_id> cancelling_;  // cancelled jobs with runs that have not ended
   std::set<job_id> scheduled_;   // jobs with occurrences that are not due yet
   std::map<job_id, time_point> early_cancels_seen_;  // of jobs that were not accepted, since when
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -32,8 +32,8 @@
   plan_short_room(now);
   judged_ = waiting_.size();
   room_is_free_ = much_room_is_free();
-  starts_left_ =
-      window_.room_beside(ready_starts_.size() + next_.starts.size() + in_flight_.starts.size());
+  starts_left_ = window_.room_beside(
+      ready_starts_.size() + next_.starts.size() + in_flight_.starts.size(), record_time_);
   place_moved(now);
   place_kept(now);
   std::vector<std::pair<job_urgency, job*>> order;
@@ -335,6 +335,7 @@
                                   log_text({.task = ref, .run = run}),
                                   log_value(link.life.worker.value), link.free().millicores));
   next_.starts.push_back({.worker = link.life.worker, .key = key, .run = run});
+  next_.decided_at = now;
   mark_changed(j);
 }
 
--- a/coltsfoot/jobs/start_window.h
+++ b/coltsfoot/jobs/start_window.h
@@ -29,10 +29,13 @@
       : options_(options), size_(options.initial) {}
 
   bool has_room() const { return under_way_ < size_; }
-  // Starts that may be begun beside `unsent` ones that wait to be sent.
-  std::size_t room_beside(std::size_t unsent) const {
+  // Starts that may be begun beside `unsent` ones that wait to be sent, if those that are begun now
+  // can be sent after `delay` only: meanwhile, the ones under way are answered and make room.
+  std::size_t room_beside(std::size_t unsent, duration delay) const {
+    const auto passed = size_ * static_cast<std::size_t>(delay / options_.late);
+    const auto most = std::min(size_ + passed, std::max(size_, options_.largest));
     const auto taken = under_way_ + unsent;
-    return taken < size_ ? size_ - taken : 0;
+    return taken < most ? most - taken : 0;
   }
   std::size_t size() const { return size_; }
   // Whether many answers were late before the newest adjustment.
--- a/coltsfoot/jobs/start_window_test.cc
+++ b/coltsfoot/jobs/start_window_test.cc
@@ -62,8 +62,17 @@
 
 TEST_F(start_window_test, unsent_starts_take_room) {
   window_.on_sent();
-  EXPECT_EQ(window_.room_beside(3), 60U);
-  EXPECT_EQ(window_.room_beside(90), 0U);
+  EXPECT_EQ(window_.room_beside(3, prompt), 60U);
+  EXPECT_EQ(window_.room_beside(90, prompt), 0U);
+}
+
+// Guards against starts that are held back by the window while they wait for a slow store.
+TEST_F(start_window_test, starts_that_can_be_sent_later_only_may_be_more) {
+  while (window_.has_room()) window_.on_sent();
+  EXPECT_EQ(window_.room_beside(0, prompt), 0U);
+  EXPECT_EQ(window_.room_beside(0, duration{450}), 128U);
+  EXPECT_EQ(window_.room_beside(100, duration{450}), 28U);
+  EXPECT_EQ(window_.room_beside(0, duration{60'000}), 136U) << "the largest window bounds it";
 }
 
 }  // namespace
