--- a/tests/jobs/group_commit_test.cc
+++ b/tests/jobs/group_commit_test.cc
@@ -123,6 +123,37 @@
   expect_nothing_broken();
 }
 
+// Guards against a peer whose records an owner can't append, or that would pass for its own.
+TEST_P(group_commit_test, an_owner_refuses_records_that_are_not_of_callers_or_too_large) {
+  const auto owner = fleet_.owner();
+  const std::string large(jobs::store_limits{}.record_bytes, 'x');
+  const std::vector<journal_records> requests{
+      {.shard = 0, .records = {{.key = "owner", .value = "v"}}},
+      {.shard = 0, .records = {{.key = "progress/j", .value = "v"}}},
+      {.shard = 0, .records = {{.key = "acceptance/j", .value = large}}},
+      {.shard = 7, .records = {{.key = "acceptance/j", .value = "v"}}}};
+  for (const auto& request : requests) {
+    const auto call = fleet_.ask_as_peer(owner, request);
+    fleet_.run_for(duration{100});
+    const auto* reply = fleet_.reply_to(call);
+    ASSERT_NE(reply, nullptr);
+    EXPECT_EQ(std::get<journal_records_reply>(*reply).fate, record_fate::not_recorded);
+  }
+  EXPECT_EQ(fleet_.owner(), owner);
+  EXPECT_EQ(submit(other_node(), "k"), jobs::caller_verdict::accepted);
+  expect_completed("k");
+}
+
+// Guards against records that a former owner takes and never makes.
+TEST_P(group_commit_test, a_node_that_is_no_owner_records_nothing_for_others) {
+  const auto call = fleet_.ask_as_peer(
+      other_node(), journal_records{.records = {{.key = "acceptance/j", .value = "v"}}});
+  fleet_.run_for(duration{100});
+  const auto* reply = fleet_.reply_to(call);
+  ASSERT_NE(reply, nullptr);
+  EXPECT_EQ(std::get<journal_records_reply>(*reply).fate, record_fate::not_recorded);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, group_commit_test, ::testing::Values(1, 2, 3, 4, 5));
 
 }  // namespace
--- a/tests/jobs/virtual_fleet.cc
+++ b/tests/jobs/virtual_fleet.cc
@@ -346,6 +346,19 @@
   return sum;
 }
 
+// --- Other nodes ---
+
+call_id virtual_fleet::ask_as_peer(int node, peer_request request) {
+  const auto call = ++last_call_;
+  deliver(node, jobs::peer_asked{.call = call, .request = std::move(request)});
+  return call;
+}
+
+const peer_reply* virtual_fleet::reply_to(call_id call) const {
+  const auto found = foreign_replies_.find(call);
+  return found == foreign_replies_.end() ? nullptr : &found->second;
+}
+
 // --- Callers ---
 
 call_id virtual_fleet::ask(int node, const std::string& id, jobs::caller_action action,
--- a/tests/jobs/virtual_fleet.h
+++ b/tests/jobs/virtual_fleet.h
@@ -72,6 +72,10 @@
   // Queries a node until it reports that the job is in `state`.
   bool reaches(int node, const std::string& id, jobs::job_state state, duration limit);
 
+  // --- Other nodes, which may send anything: the reply arrives in `reply_to` ---
+  call_id ask_as_peer(int node, peer_request request);
+  const peer_reply* reply_to(call_id call) const;
+
   // --- Fault injection ---
   void kill_node(int node);
   bool runs(int node) const { return nodes_.at(static_cast<std::size_t>(node)).core != nullptr; }
@@ -227,6 +231,7 @@
   absence_watch absences_{{}};
   std::map<call_id, jobs::caller_answer> answers_;
   std::map<std::pair<int, call_id>, std::pair<int, call_id>> peer_calls_;  // receiver's to sender's
+  std::map<call_id, peer_reply> foreign_replies_;  // to calls that no node of the fleet has made
   std::set<jobs::task_ref> done_;  // ends that the owner had told a worker to forget
   std::set<std::string> violations_;
   std::size_t starts_ = 0;
--- a/tests/jobs/virtual_fleet_commands.cc
+++ b/tests/jobs/virtual_fleet_commands.cc
@@ -250,7 +250,10 @@
 
 void virtual_fleet::run(int node, const jobs::answer_peer& c) {
   const auto found = peer_calls_.find({node, c.call});
-  if (found == peer_calls_.end()) return;
+  if (found == peer_calls_.end()) {
+    foreign_replies_.insert_or_assign(c.call, c.reply);
+    return;
+  }
   const auto [sender, call] = found->second;
   peer_calls_.erase(found);
   deliver_after(sender, network_delay, jobs::peer_answered{.call = call, .result = c.reply});
