--- a/tests/jobs/group_commit_test.cc
+++ b/tests/jobs/group_commit_test.cc
@@ -45,6 +45,7 @@
   fleet_.set_append_time(duration{100});
   const auto before = fleet_.appends();
   std::vector<call_id> calls;
+  calls.reserve(jobs);
   for (int i = 0; i < jobs; ++i) {
     calls.push_back(fleet_.submit(i % nodes, "j" + std::to_string(i), two_steps(1)));
   }
