--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -311,6 +311,7 @@
   void note_progress(placed_run& run, std::uint32_t percent, time_point now) const;
   void learn_speed(placed_run& run, time_point now);
   void relocate_slow_runs(time_point now);
+  void log_slow_runs() const;
   void place_moved(time_point now);
 
   // Late starts.
--- a/coltsfoot/jobs/job_owner_relocation.cc
+++ b/coltsfoot/jobs/job_owner_relocation.cc
@@ -36,8 +36,8 @@
   slow_moves_.drop_settled(table_, links_, now);
   // Moves out of evacuated zones count too, so that the bound on moves of a shard is one for both.
   const auto under_way = slow_moves_.size() + evacuation_moves_.size();
-  if (!granting_ || fenced_ || under_way >= options.most_under_way) return;
-  const auto room = options.most_under_way - under_way;
+  if (!granting_ || fenced_) return;
+  const auto room = options.most_under_way - std::min(options.most_under_way, under_way);
   for (const auto& move : slow_runs_.choose({links_, table_, model_, speeds_}, room, now)) {
     auto& link = links_.at(move.from);
     const auto& run = link.runs.at(move.key);
@@ -55,6 +55,20 @@
   }
 }
 
+// Tells of the newest pass over slow runs, and why they stay where they are.
+void job_owner::log_slow_runs() const {
+  const auto& counts = slow_runs_.counts();
+  if (counts.slow == 0) return;
+  std::string staying;
+  for (const auto& [reason, count] : counts.staying) {
+    staying += fmt::format(" {}={}", name_of(reason), count);
+  }
+  log(severity::info,
+      fmt::format("event=slow_runs slow={} moved={} moves_under_way={} evacuation_moves={}{}",
+                  counts.slow, counts.moved, slow_moves_.size(), evacuation_moves_.size(),
+                  staying));
+}
+
 // Places stopped tasks on the workers that hold room for them, or else wherever they fit, before
 // others can take the room.
 void job_owner::place_moved(time_point now) {
--- a/coltsfoot/jobs/job_owner_tending.cc
+++ b/coltsfoot/jobs/job_owner_tending.cc
@@ -48,6 +48,7 @@
   drop_expired(now);
   log_summary(now);
   log_long_waits(now);
+  log_slow_runs();
 }
 
 // The former owner records a restarted worker as a witness only once its long lease is over.
--- a/coltsfoot/relocation/slow_runs.cc
+++ b/coltsfoot/relocation/slow_runs.cc
@@ -91,17 +91,23 @@
 std::vector<run_move> slow_run_finder::choose(const fleet_view& fleet, std::size_t most,
                                               time_point now) {
   std::vector<run_move> chosen;
-  if (!options_.enabled() || most == 0) return chosen;
+  counts_ = {};
+  if (!options_.enabled()) return chosen;
   rooms_left_ = options_.most_rooms_compared;
   targets_left_ = options_.most_targets_judged;
   auto slow = slow_runs(fleet, now);
   const auto sought = std::min(most_sought, slow.size());
   std::partial_sort(slow.begin(), slow.begin() + static_cast<std::ptrdiff_t>(sought), slow.end(),
                     [](const auto& a, const auto& b) { return a.score > b.score; });
+  auto not_sought = slow.size();
   for (std::size_t i = 0; i < sought && chosen.size() < most; ++i) {
     const auto& entry = slow[i];
+    --not_sought;
     const auto found = find_target(fleet, entry, chosen, now);
-    if (found.link == nullptr) continue;
+    if (found.link == nullptr) {
+      ++counts_.staying[stay_reason::no_room];
+      continue;
+    }
     chosen.push_back({.key = *entry.key,
                       .run = entry.run->run,
                       .from = entry.link->life.worker,
@@ -112,6 +118,8 @@
                       .there = duration_of(found.there_ms),
                       .report_age = now - *entry.link->newest_report});
   }
+  counts_.moved = chosen.size();
+  if (not_sought > 0) counts_.staying[stay_reason::not_sought] = not_sought;
   return chosen;
 }
 
@@ -130,27 +138,29 @@
 }
 
 void slow_run_finder::judge_worker(const fleet_view& fleet, const worker_link& link, time_point now,
-                                   std::vector<slow_run>& out) const {
+                                   std::vector<slow_run>& out) {
   if (link.fill_millicores == 0 || !link.listing || link.failed_looks > 0) return;
   if (!link.newest_report || now - *link.newest_report > options_.report_limit) return;
   for (const auto& [key, run] : link.runs) {
     if (run.fill_millicores == 0) continue;
-    if (const auto slow = judge(fleet, link, key, run, now)) out.push_back(*slow);
+    const auto slow = judge(fleet, link, key, run);
+    if (!slow) continue;
+    ++counts_.slow;
+    if (const auto reason = reason_to_stay(*slow, now)) {
+      ++counts_.staying[*reason];
+    } else {
+      out.push_back(*slow);
+    }
   }
 }
 
 std::optional<slow_run_finder::slow_run> slow_run_finder::judge(const fleet_view& fleet,
                                                                 const worker_link& link,
                                                                 const jobs::task_key& key,
-                                                                const placed_run& run,
-                                                                time_point now) const {
+                                                                const placed_run& run) const {
   const bool settled = run.phase == start_phase::confirmed && !run.stop_wanted &&
                        run.progress.is_known() && run.percent < 100;
   if (!settled || run.estimate <= duration{0}) return std::nullopt;
-  // Its next run would have to stay where it is.
-  if (link.has_late_start(run, now)) return std::nullopt;
-  if (run.moves >= options_.most_moves_of_task) return std::nullopt;
-  if (now - run.began < options_.least_time * (1U << run.moves)) return std::nullopt;
   slow_run slow{.key = &key, .run = &run, .link = &link};
   slow.typical = fleet.speeds.percent_per_s(run.image, run.estimate);
   slow.full_speed = run.progress.full_speed(slow.typical);
@@ -159,24 +169,33 @@
                     slow.speed_here * estimate_error >= slow.typical * fast_pace;
   if (fast) return std::nullopt;
   slow.here_ms = ms_for(remaining_percent(run), slow.speed_here);
-  if (slow.here_ms < ms_of(options_.restore + options_.order_delay + options_.least_gain)) {
-    return std::nullopt;
-  }
   slow.owner = fleet.table.find(key.job);
   if (slow.owner == nullptr || slow.owner->ended() || slow.owner->cancel_requested) {
     return std::nullopt;
   }
   const auto ref = slow.owner->ref_of(key.index);
   slow.step = &slow.owner->step_of(ref);
-  if (!may_move(*slow.step, run)) return std::nullopt;
   const auto there = time_there(slow, is_near(*slow.step, link));
-  if (!gains(slow, there)) return std::nullopt;
   const auto steps = slow.owner->accepted.spec.steps.size();
   const auto open = slow.owner->open_tasks[ref.occurrence * steps + ref.step];
   slow.score = (slow.here_ms - there) / std::max<std::uint32_t>(open, 1);
   return slow;
 }
 
+std::optional<stay_reason> slow_run_finder::reason_to_stay(const slow_run& slow,
+                                                           time_point now) const {
+  const auto& run = *slow.run;
+  // Its next run would have to stay where it is.
+  if (slow.link->has_late_start(run, now)) return stay_reason::late_start;
+  if (run.moves >= options_.most_moves_of_task) return stay_reason::moved_often;
+  if (now - run.began < options_.least_time * (1U << run.moves)) return stay_reason::young;
+  if (!may_move(*slow.step, run)) return stay_reason::unmovable;
+  const auto move_cost = options_.restore + options_.order_delay + options_.least_gain;
+  if (slow.here_ms < ms_of(move_cost)) return stay_reason::no_gain;
+  if (!gains(slow, time_there(slow, is_near(*slow.step, *slow.link)))) return stay_reason::no_gain;
+  return std::nullopt;
+}
+
 double slow_run_finder::time_there(const slow_run& slow, bool near_there) const {
   const bool near_here = is_near(*slow.step, *slow.link);
   auto speed = slow.full_speed;
--- a/coltsfoot/relocation/slow_runs.h
+++ b/coltsfoot/relocation/slow_runs.h
@@ -12,12 +12,17 @@
 //   for (const auto& move : finder.choose({links, table, model, speeds}, most, now)) begin(move);
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
+#include "coltsfoot/base/name_table.h"
 #include "coltsfoot/jobs/job_table.h"
 #include "coltsfoot/jobs/placement.h"
 #include "coltsfoot/relocation/run_progress.h"
@@ -65,6 +70,24 @@
   duration report_age{0};
 };
 
+// Why a slow run stays where it is.
+enum class stay_reason : std::uint8_t {
+  late_start,   // a start order of it may still be carried out: its next run stays with the worker
+  moved_often,  // its task has moved as often as it may
+  young,        // it has been there too short a time
+  unmovable,    // its kind of step does not move, or it would lose too much work
+  no_gain,      // it would not end clearly earlier on a free worker
+  not_sought,   // others went first, and the bound on moves was reached
+  no_room       // no worker was found on which it would end clearly earlier
+};
+
+// Of one pass.
+struct slow_run_counts {
+  std::size_t slow = 0;  // runs that work clearly slower than they could
+  std::size_t moved = 0;
+  std::map<stay_reason, std::size_t> staying;
+};
+
 class slow_run_finder {
  public:
   explicit slow_run_finder(const relocation_options& options) : options_(options) {}
@@ -72,6 +95,9 @@
   // Returns at most `most` moves, the most useful first. No two of them have one target.
   std::vector<run_move> choose(const fleet_view& fleet, std::size_t most, time_point now);
 
+  // What became of the slow runs in the newest pass.
+  const slow_run_counts& counts() const { return counts_; }
+
  private:
   struct slow_run {
     const jobs::task_key* key = nullptr;
@@ -93,16 +119,19 @@
 
   std::vector<slow_run> slow_runs(const fleet_view& fleet, time_point now);
   void judge_worker(const fleet_view& fleet, const jobs::worker_link& link, time_point now,
-                    std::vector<slow_run>& out) const;
+                    std::vector<slow_run>& out);
+  // Returns the run if it is slow.
   std::optional<slow_run> judge(const fleet_view& fleet, const jobs::worker_link& link,
-                                const jobs::task_key& key, const jobs::placed_run& run,
-                                time_point now) const;
+                                const jobs::task_key& key, const jobs::placed_run& run) const;
+  // Why a slow run should stay; nothing if it should move.
+  std::optional<stay_reason> reason_to_stay(const slow_run& slow, time_point now) const;
   double time_there(const slow_run& slow, bool near_there) const;
   bool gains(const slow_run& slow, double there_ms) const;
   target find_target(const fleet_view& fleet, const slow_run& slow,
                      const std::vector<run_move>& chosen, time_point now);
 
   relocation_options options_;
+  slow_run_counts counts_;
   worker_id last_judged_;
   worker_id last_target_;
   std::size_t rooms_left_ = 0;    // to compare in the present pass
@@ -110,3 +139,17 @@
 };
 
 }  // namespace coltsfoot::relocation
+
+namespace coltsfoot {
+template <>
+struct enum_names<relocation::stay_reason> {
+  static constexpr std::array table{
+      std::pair{relocation::stay_reason::late_start, std::string_view{"late_start"}},
+      std::pair{relocation::stay_reason::moved_often, std::string_view{"moved_often"}},
+      std::pair{relocation::stay_reason::young, std::string_view{"young"}},
+      std::pair{relocation::stay_reason::unmovable, std::string_view{"unmovable"}},
+      std::pair{relocation::stay_reason::no_gain, std::string_view{"no_gain"}},
+      std::pair{relocation::stay_reason::not_sought, std::string_view{"not_sought"}},
+      std::pair{relocation::stay_reason::no_room, std::string_view{"no_room"}}};
+};
+}  // namespace coltsfoot
--- a/coltsfoot/relocation/slow_runs_test.cc
+++ b/coltsfoot/relocation/slow_runs_test.cc
@@ -217,6 +217,27 @@
   EXPECT_NE(moves[0].to, moves[1].to);
 }
 
+// Guards against slow runs that stay where they are without a trace.
+TEST_F(slow_runs_test, each_slow_run_that_stays_is_counted_by_its_reason) {
+  using counts_by_reason = std::map<stay_reason, std::size_t>;
+  slow_run_finder finder{options_};
+  const auto staying = [&](std::size_t most) {
+    finder.choose({links_, table_, model_, speeds_}, most, now);
+    return finder.counts().staying;
+  };
+  auto& run = add_slow_run();
+  EXPECT_EQ(staying(4), counts_by_reason{});
+  EXPECT_EQ(finder.counts().moved, 1U);
+  EXPECT_EQ(staying(0), (counts_by_reason{{stay_reason::not_sought, 1}}));
+  add_run("busy", second_, 20, 8);
+  links_.at(worker_id{"spare"}).paced_at = now - duration{500};
+  EXPECT_EQ(staying(4), (counts_by_reason{{stay_reason::no_room, 2}}));
+  EXPECT_EQ(finder.counts().slow, 2U);
+  run.began = now - duration{500};
+  links_.at(worker_id{"busy"}).runs.at(second_).moves = options_.most_moves_of_task;
+  EXPECT_EQ(staying(4), (counts_by_reason{{stay_reason::young, 1}, {stay_reason::moved_often, 1}}));
+}
+
 // Working far from the data explains a slow run; a worker that is no nearer would not help.
 TEST_F(slow_runs_test, a_run_far_from_its_data_moves_only_to_a_nearer_worker) {
   auto far = fill_step(1);
