--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -310,6 +310,7 @@
   // Moves of slow filling runs.
   void note_progress(placed_run& run, std::uint32_t percent, time_point now) const;
   void learn_speed(placed_run& run, time_point now);
+  std::size_t moves_left() const;
   void relocate_slow_runs(time_point now);
   void log_slow_runs() const;
   void place_moved(time_point now);
--- a/coltsfoot/jobs/job_owner_relocation.cc
+++ b/coltsfoot/jobs/job_owner_relocation.cc
@@ -28,17 +28,23 @@
   speeds_.observe(run.image, run.progress, run.estimate);
 }
 
+// Moves that may be begun now. They are starts too, so that an owner whose workers answer late
+// begins fewer.
+std::size_t job_owner::moves_left() const {
+  const auto& options = options_.relocation;
+  const auto by_size = std::max(options.most_under_way, links_.size() / options.workers_per_move);
+  const auto most = std::min(by_size, window_.size());
+  return most - std::min(most, slow_moves_.size());
+}
+
 // While the store answers nothing, a stopped task could not be started again.
 void job_owner::relocate_slow_runs(time_point now) {
   const auto& options = options_.relocation;
   if (!options.enabled() || now < next_relocation_) return;
   next_relocation_ = now + options.interval;
   slow_moves_.drop_settled(table_, links_, now);
-  // Moves out of evacuated zones count too, so that the bound on moves of a shard is one for both.
-  const auto under_way = slow_moves_.size() + evacuation_moves_.size();
   if (!granting_ || fenced_) return;
-  const auto room = options.most_under_way - std::min(options.most_under_way, under_way);
-  for (const auto& move : slow_runs_.choose({links_, table_, model_, speeds_}, room, now)) {
+  for (const auto& move : slow_runs_.choose({links_, table_, model_, speeds_}, moves_left(), now)) {
     auto& link = links_.at(move.from);
     const auto& run = link.runs.at(move.key);
     slow_moves_.begin(move, run, links_, now + options.give_up);
--- a/coltsfoot/relocation/slow_runs.cc
+++ b/coltsfoot/relocation/slow_runs.cc
@@ -33,8 +33,7 @@
 
 constexpr double longest_ms = 600'000;
 
-// Slow runs for which targets are sought in one pass, and suitable targets compared for each.
-constexpr std::size_t most_sought = 8;
+// Suitable targets that are compared for a slow run.
 constexpr std::size_t most_compared = 4;
 
 double ms_of(duration time) {
@@ -96,7 +95,7 @@
   rooms_left_ = options_.most_rooms_compared;
   targets_left_ = options_.most_targets_judged;
   auto slow = slow_runs(fleet, now);
-  const auto sought = std::min(most_sought, slow.size());
+  const auto sought = std::min(options_.most_sought, slow.size());
   std::partial_sort(slow.begin(), slow.begin() + static_cast<std::ptrdiff_t>(sought), slow.end(),
                     [](const auto& a, const auto& b) { return a.score > b.score; });
   auto not_sought = slow.size();
--- a/coltsfoot/relocation/slow_runs.h
+++ b/coltsfoot/relocation/slow_runs.h
@@ -31,7 +31,7 @@
 
 struct relocation_options {
   duration restore{0};  // that resuming from a checkpoint takes; 0: nothing is moved
-  duration interval{250};
+  duration interval{100};  // between two passes
   // From the decision until the task works elsewhere, the restore aside: a stop, a record of the
   // start and the start.
   duration order_delay{250};
@@ -40,12 +40,16 @@
   double margin = 1.5;           // estimated times are compared that stem from few reports
   duration least_gain{500};
   std::uint32_t most_moves_of_task = 3;
+  // Of a shard, whatever its size. A larger one may have one move under way for each of so many
+  // workers, as each holds the room of another one.
   std::size_t most_under_way = 4;
+  std::size_t workers_per_move = 4;
   duration give_up{3'000};  // from the decision until the task is placed again
   // Bounds on the processor time of one pass.
   std::size_t most_workers_judged = 512;
-  std::size_t most_rooms_compared = 1'024;
-  std::size_t most_targets_judged = 64;
+  std::size_t most_rooms_compared = 8'192;
+  std::size_t most_targets_judged = 256;
+  std::size_t most_sought = 64;  // slow runs for which targets are sought
 
   bool enabled() const { return restore > duration{0}; }
 };
--- a/tests/jobs/slow_fill_task_test.cc
+++ b/tests/jobs/slow_fill_task_test.cc
@@ -113,12 +113,11 @@
   begin(restore);
   set_load(high_load);
   std::size_t most = 0;
-  fleet_->run_until(
-      [&] {
-        most = std::max(most, stopping());
-        return false;
-      },
-      duration{6'000});
+  // A stop may take less than the step of `run_until`.
+  for (duration passed{0}; passed < duration{6'000}; passed += duration{1}) {
+    fleet_->run_for(duration{1});
+    most = std::max(most, stopping());
+  }
   EXPECT_GT(most, 0U);
   EXPECT_LE(most, relocation::relocation_options{}.most_under_way);
 }
