--- a/benchmarks/relocation_benchmark.cc
+++ b/benchmarks/relocation_benchmark.cc
@@ -39,7 +39,7 @@
     }
   }
 
-  fleet_view view() const { return {links_, table_, model_, speeds_}; }
+  fleet_view view() const { return {links_, table_, model_, speeds_, correction_, wall_time{}}; }
 
  private:
   static jobs::job_id job_name(int number) { return jobs::job_id{fmt::format("{:016}", number)}; }
@@ -92,6 +92,7 @@
   jobs::job_table table_;
   jobs::interference_model model_{{}};
   typical_speeds speeds_;
+  jobs::estimate_correction correction_;
 };
 
 void decide(benchmark::State& state) {
--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -36,6 +36,7 @@
 #include "coltsfoot/lease/grant_authority.h"
 #include "coltsfoot/observe/latency_histogram.h"
 #include "coltsfoot/relocation/moves_under_way.h"
+#include "coltsfoot/relocation/room_claims.h"
 #include "coltsfoot/relocation/slow_runs.h"
 #include "coltsfoot/routing/retry_budget.h"
 #include "coltsfoot/transport/transport_error.h"
@@ -297,11 +298,12 @@
   bool much_room_is_free() const;
   void log_long_waits(time_point now) const;
   bool log_wait(const job& j, std::uint32_t step, duration waited, time_point now) const;
-  void place_job(job& j, time_point now);
+  void place_job(job& j, const job_urgency& urgency, time_point now);
   bool is_hopeless(const placement_request& request) const;
   void rank_workers(const placement_request& request, time_point now,
                     std::optional<worker_ranking>& ranking);
-  void place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
+  void place_step(job& j, std::uint32_t occurrence, std::uint32_t step, const job_urgency& urgency,
+                  time_point now);
   void place_gang(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now);
   void assign(job& j, task_index index, worker_link& link, run_number run, time_point now);
   placement_request request_for(const job& j, std::uint32_t occurrence, std::uint32_t step) const;
@@ -410,6 +412,7 @@
   relocation::typical_speeds speeds_;
   relocation::slow_run_finder slow_runs_;
   relocation::moves_under_way slow_moves_;
+  relocation::room_claims claims_;
   time_point next_relocation_{};
   std::map<job_id, time_point> waiting_;  // open jobs with a task that could be placed, since when
   std::map<job_id, time_point> runless_since_;  // waiting jobs without a run
@@ -421,7 +424,8 @@
   short_task_room short_room_;                 // as planned for the newest placing pass
   std::map<service_id, short_task_figures> unplaced_short_;  // of the present placing pass
   std::map<service_id, short_task_demand> short_demands_;
-  std::size_t starts_left_ = 0;  // that the present placing pass may still decide
+  std::size_t starts_left_ = 0;        // that the present placing pass may still decide
+  std::size_t first_starts_held_ = 0;  // in the newest placing pass, for slow runs
   duration record_time_{0};      // from the decision to the record of the newest recorded starts
   std::set<job_id> cancelling_;  // cancelled jobs with runs that have not ended
   std::set<job_id> scheduled_;   // jobs with occurrences that are not due yet
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -31,6 +31,7 @@
   unplaced_short_.clear();
   plan_short_room(now);
   judged_ = waiting_.size();
+  first_starts_held_ = 0;
   room_is_free_ = much_room_is_free();
   starts_left_ = window_.room_beside(
       ready_starts_.size() + next_.starts.size() + in_flight_.starts.size(), record_time_);
@@ -45,7 +46,7 @@
     return std::tie(a.first, a.second->accepted.id) < std::tie(b.first, b.second->accepted.id);
   });
   for (const auto& [urgency, j] : order) {
-    place_job(*j, now);
+    place_job(*j, urgency, now);
     note_starved(*j, now);
     refresh_waiting(*j, now);
   }
@@ -163,7 +164,7 @@
   return true;
 }
 
-void job_owner::place_job(job& j, time_point now) {
+void job_owner::place_job(job& j, const job_urgency& urgency, time_point now) {
   if (starts_left_ == 0) return;
   const auto& spec = j.accepted.spec;
   for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
@@ -173,7 +174,7 @@
       if (spec.steps[step].gang) {
         place_gang(j, occurrence, step, now);
       } else {
-        place_step(j, occurrence, step, now);
+        place_step(j, occurrence, step, urgency, now);
       }
     }
   }
@@ -232,10 +233,12 @@
   return request;
 }
 
-void job_owner::place_step(job& j, std::uint32_t occurrence, std::uint32_t step, time_point now) {
+void job_owner::place_step(job& j, std::uint32_t occurrence, std::uint32_t step,
+                           const job_urgency& urgency, time_point now) {
   const auto first = j.index_of({.occurrence = occurrence, .step = step});
   const auto last = first + j.accepted.spec.steps[step].count;
   const auto& spec = j.accepted.spec.steps[step];
+  const bool waits_for_slow_runs = spec.fill && claims_.go_before(urgency);
   auto request = request_for(j, occurrence, step);
   std::optional<worker_ranking> ranking;
   bool ranked = false;          // for the request as it is
@@ -245,6 +248,10 @@
     if (starts_left_ == 0) return;
     const bool restart = j.tasks[i].run > 0;
     const bool starved = spec.fill && is_starved(j, now) && !placed_starved;
+    if (waits_for_slow_runs && !restart && !starved) {
+      ++first_starts_held_;
+      continue;
+    }
     ranked = ranked && restart == request.restart && starved == request.starved;
     request.restart = restart;
     request.starved = starved;
--- a/coltsfoot/jobs/job_owner_relocation.cc
+++ b/coltsfoot/jobs/job_owner_relocation.cc
@@ -44,7 +44,10 @@
   next_relocation_ = now + options.interval;
   slow_moves_.drop_settled(table_, links_, now);
   if (!granting_ || fenced_) return;
-  for (const auto& move : slow_runs_.choose({links_, table_, model_, speeds_}, moves_left(), now)) {
+  const auto moves =
+      slow_runs_.choose({links_, table_, model_, speeds_, correction_, wall_}, moves_left(), now);
+  claims_.renew(slow_runs_.without_room(), links_.size());
+  for (const auto& move : moves) {
     auto& link = links_.at(move.from);
     const auto& run = link.runs.at(move.key);
     slow_moves_.begin(move, run, links_, now + options.give_up);
@@ -70,9 +73,10 @@
     staying += fmt::format(" {}={}", name_of(reason), count);
   }
   log(severity::info,
-      fmt::format("event=slow_runs slow={} moved={} moves_under_way={} evacuation_moves={}{}",
+      fmt::format("event=slow_runs slow={} moved={} moves_under_way={} evacuation_moves={} "
+                  "first_starts_held={}{}",
                   counts.slow, counts.moved, slow_moves_.size(), evacuation_moves_.size(),
-                  staying));
+                  first_starts_held_, staying));
 }
 
 // Places stopped tasks on the workers that hold room for them, or else wherever they fit, before
--- a/coltsfoot/relocation/slow_runs.cc
+++ b/coltsfoot/relocation/slow_runs.cc
@@ -91,20 +91,21 @@
                                               time_point now) {
   std::vector<run_move> chosen;
   counts_ = {};
+  without_room_.clear();
   if (!options_.enabled()) return chosen;
   rooms_left_ = options_.most_rooms_compared;
   targets_left_ = options_.most_targets_judged;
   auto slow = slow_runs(fleet, now);
   const auto sought = std::min(options_.most_sought, slow.size());
   std::partial_sort(slow.begin(), slow.begin() + static_cast<std::ptrdiff_t>(sought), slow.end(),
-                    [](const auto& a, const auto& b) { return a.score > b.score; });
-  auto not_sought = slow.size();
-  for (std::size_t i = 0; i < sought && chosen.size() < most; ++i) {
+                    goes_first);
+  for (std::size_t i = 0; i < slow.size(); ++i) {
     const auto& entry = slow[i];
-    --not_sought;
-    const auto found = find_target(fleet, entry, chosen, now);
+    const bool seeks = i < sought && chosen.size() < most;
+    const auto found = seeks ? find_target(fleet, entry, chosen, now) : target{};
     if (found.link == nullptr) {
-      ++counts_.staying[stay_reason::no_room];
+      ++counts_.staying[seeks ? stay_reason::no_room : stay_reason::not_sought];
+      without_room_.push_back(entry.urgency);
       continue;
     }
     chosen.push_back({.key = *entry.key,
@@ -118,10 +119,14 @@
                       .report_age = now - *entry.link->newest_report});
   }
   counts_.moved = chosen.size();
-  if (not_sought > 0) counts_.staying[stay_reason::not_sought] = not_sought;
   return chosen;
 }
 
+bool slow_run_finder::goes_first(const slow_run& a, const slow_run& b) {
+  if (a.urgency.expected != b.urgency.expected) return a.urgency.expected < b.urgency.expected;
+  return a.score > b.score;
+}
+
 // Judges all workers of a small fleet, and a part of those of a large one, in turn.
 std::vector<slow_run_finder::slow_run> slow_run_finder::slow_runs(const fleet_view& fleet,
                                                                   time_point now) {
@@ -178,6 +183,7 @@
   const auto steps = slow.owner->accepted.spec.steps.size();
   const auto open = slow.owner->open_tasks[ref.occurrence * steps + ref.step];
   slow.score = (slow.here_ms - there) / std::max<std::uint32_t>(open, 1);
+  slow.urgency = jobs::urgency_of(*slow.owner, fleet.correction, fleet.wall);
   return slow;
 }
 
--- a/coltsfoot/relocation/slow_runs.h
+++ b/coltsfoot/relocation/slow_runs.h
@@ -2,8 +2,8 @@
 //
 // Load it answers: fill runs that are paced down, or pressed beyond their pace, by serving tasks
 // whose load swings, while other workers have processors to spare. A run moves if its task then
-// ends earlier, with a margin: its own measured progress tells what it takes here and there. The
-// last tasks of a step come first.
+// ends earlier, with a margin: its own measured progress tells what it takes here and there. Runs
+// of jobs that can still end in time come first, then the last tasks of a step.
 //
 // Data: the newest report of each worker, asked for at most 2 s ago; the pace that each run was
 // told; the room of each worker as the owner counts it. Nothing is kept but where to go on looking.
@@ -24,13 +24,14 @@
 
 #include "coltsfoot/base/name_table.h"
 #include "coltsfoot/jobs/job_table.h"
+#include "coltsfoot/jobs/job_urgency.h"
 #include "coltsfoot/jobs/placement.h"
 #include "coltsfoot/relocation/run_progress.h"
 
 namespace coltsfoot::relocation {
 
 struct relocation_options {
-  duration restore{0};  // that resuming from a checkpoint takes; 0: nothing is moved
+  duration restore{0};     // that resuming from a checkpoint takes; 0: nothing is moved
   duration interval{100};  // between two passes
   // From the decision until the task works elsewhere, the restore aside: a stop, a record of the
   // start and the start.
@@ -60,6 +61,8 @@
   const jobs::job_table& table;
   const jobs::interference_model& model;
   const typical_speeds& speeds;
+  const jobs::estimate_correction& correction;
+  wall_time wall;
 };
 
 struct run_move {
@@ -101,6 +104,9 @@
 
   // What became of the slow runs in the newest pass.
   const slow_run_counts& counts() const { return counts_; }
+  // Of the newest pass, the urgencies of the jobs of slow runs that should have moved, one for each
+  // run.
+  const std::vector<jobs::job_urgency>& without_room() const { return without_room_; }
 
  private:
   struct slow_run {
@@ -114,6 +120,7 @@
     double typical = 0;     // at full pace, of its image
     double here_ms = 0;
     double score = 0;  // expected gain in ms for each open task of the step
+    jobs::job_urgency urgency;
   };
   struct target {
     const jobs::worker_link* link = nullptr;
@@ -127,6 +134,8 @@
   // Returns the run if it is slow.
   std::optional<slow_run> judge(const fleet_view& fleet, const jobs::worker_link& link,
                                 const jobs::task_key& key, const jobs::placed_run& run) const;
+  // Whether room is sought for `a` first.
+  static bool goes_first(const slow_run& a, const slow_run& b);
   // Why a slow run should stay; nothing if it should move.
   std::optional<stay_reason> reason_to_stay(const slow_run& slow, time_point now) const;
   double time_there(const slow_run& slow, bool near_there) const;
@@ -136,6 +145,7 @@
 
   relocation_options options_;
   slow_run_counts counts_;
+  std::vector<jobs::job_urgency> without_room_;
   worker_id last_judged_;
   worker_id last_target_;
   std::size_t rooms_left_ = 0;    // to compare in the present pass
--- a/coltsfoot/relocation/slow_runs_test.cc
+++ b/coltsfoot/relocation/slow_runs_test.cc
@@ -70,7 +70,7 @@
 
   std::vector<run_move> choose(std::size_t most = 4) {
     slow_run_finder finder{options_};
-    return finder.choose({links_, table_, model_, speeds_}, most, now);
+    return finder.choose({links_, table_, model_, speeds_, correction_, wall_time{}}, most, now);
   }
 
   // A slow run and a worker with room for it.
@@ -87,6 +87,7 @@
   jobs::worker_links links_;
   jobs::interference_model model_{{}};
   typical_speeds speeds_;
+  jobs::estimate_correction correction_;
 };
 
 TEST_F(slow_runs_test, a_run_that_is_paced_down_moves_to_a_worker_with_room) {
@@ -222,7 +223,7 @@
   using counts_by_reason = std::map<stay_reason, std::size_t>;
   slow_run_finder finder{options_};
   const auto staying = [&](std::size_t most) {
-    finder.choose({links_, table_, model_, speeds_}, most, now);
+    finder.choose({links_, table_, model_, speeds_, correction_, wall_time{}}, most, now);
     return finder.counts().staying;
   };
   auto& run = add_slow_run();
