--- a/coltsfoot/evacuation/evacuation_moves.h
+++ b/coltsfoot/evacuation/evacuation_moves.h
@@ -15,7 +15,7 @@
 #include <map>
 #include <vector>
 
-#include "coltsfoot/jobs/placement.h"
+#include "coltsfoot/placing/placement.h"
 
 namespace coltsfoot::jobs {
 
--- a/coltsfoot/jobs/job_owner_handovers.cc
+++ b/coltsfoot/jobs/job_owner_handovers.cc
@@ -9,7 +9,7 @@
 
 #include "coltsfoot/base/log_text.h"
 #include "coltsfoot/jobs/job_owner.h"
-#include "coltsfoot/jobs/worker_fit.h"
+#include "coltsfoot/placing/worker_fit.h"
 
 namespace coltsfoot::jobs {
 namespace {
--- a/coltsfoot/jobs/shard_rooms.cc
+++ b/coltsfoot/jobs/shard_rooms.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <ranges>
 
-#include "coltsfoot/jobs/worker_fit.h"
+#include "coltsfoot/placing/worker_fit.h"
 
 namespace coltsfoot::jobs {
 
--- a/coltsfoot/jobs/shard_rooms.h
+++ b/coltsfoot/jobs/shard_rooms.h
@@ -18,7 +18,7 @@
 
 #include "coltsfoot/jobs/fleet_layout.h"
 #include "coltsfoot/jobs/job.h"
-#include "coltsfoot/jobs/short_task_room.h"
+#include "coltsfoot/placing/short_task_room.h"
 
 namespace coltsfoot::jobs {
 
--- a/coltsfoot/jobs/interference_model_test.cc
+++ b/coltsfoot/placing/interference_model_test.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/interference_model.h"
+#include "coltsfoot/placing/interference_model.h"
 
 #include <gtest/gtest.h>
 
--- a/coltsfoot/jobs/job_urgency.cc
+++ b/coltsfoot/placing/job_urgency.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/job_urgency.h"
+#include "coltsfoot/placing/job_urgency.h"
 
 #include <algorithm>
 #include <vector>
--- a/coltsfoot/jobs/pacing.h
+++ b/coltsfoot/placing/pacing.h
@@ -15,8 +15,8 @@
 #include <set>
 #include <vector>
 
-#include "coltsfoot/jobs/interference_model.h"
 #include "coltsfoot/jobs/worker_link.h"
+#include "coltsfoot/placing/interference_model.h"
 
 namespace coltsfoot::jobs {
 
--- a/coltsfoot/jobs/pacing_test.cc
+++ b/coltsfoot/placing/pacing_test.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/pacing.h"
+#include "coltsfoot/placing/pacing.h"
 
 #include <gtest/gtest.h>
 
--- a/coltsfoot/jobs/placement.cc
+++ b/coltsfoot/placing/placement.cc
@@ -1,9 +1,9 @@
-#include "coltsfoot/jobs/placement.h"
+#include "coltsfoot/placing/placement.h"
 
 #include <algorithm>
 #include <tuple>
 
-#include "coltsfoot/jobs/pacing.h"
+#include "coltsfoot/placing/pacing.h"
 
 namespace coltsfoot::jobs {
 namespace {
--- a/coltsfoot/jobs/placement.h
+++ b/coltsfoot/placing/placement.h
@@ -20,9 +20,9 @@
 #include <tuple>
 #include <vector>
 
-#include "coltsfoot/jobs/interference_model.h"
-#include "coltsfoot/jobs/short_task_room.h"
 #include "coltsfoot/jobs/worker_link.h"
+#include "coltsfoot/placing/interference_model.h"
+#include "coltsfoot/placing/short_task_room.h"
 
 namespace coltsfoot::jobs {
 
--- a/coltsfoot/jobs/placement_test.cc
+++ b/coltsfoot/placing/placement_test.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/placement.h"
+#include "coltsfoot/placing/placement.h"
 
 #include <gtest/gtest.h>
 
--- a/coltsfoot/jobs/short_task_demand_test.cc
+++ b/coltsfoot/placing/short_task_demand_test.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/short_task_demand.h"
+#include "coltsfoot/placing/short_task_demand.h"
 
 #include <gtest/gtest.h>
 
--- a/coltsfoot/jobs/short_task_room.cc
+++ b/coltsfoot/placing/short_task_room.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/short_task_room.h"
+#include "coltsfoot/placing/short_task_room.h"
 
 #include <algorithm>
 #include <tuple>
--- a/coltsfoot/jobs/short_task_room.h
+++ b/coltsfoot/placing/short_task_room.h
@@ -17,7 +17,7 @@
 
 #include "coltsfoot/base/ids.h"
 #include "coltsfoot/base/resources.h"
-#include "coltsfoot/jobs/short_task_demand.h"
+#include "coltsfoot/placing/short_task_demand.h"
 
 namespace coltsfoot::jobs {
 
--- a/coltsfoot/jobs/short_task_room_plan_test.cc
+++ b/coltsfoot/placing/short_task_room_plan_test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "coltsfoot/jobs/short_task_room.h"
+#include "coltsfoot/placing/short_task_room.h"
 
 namespace coltsfoot::jobs {
 namespace {
--- a/coltsfoot/jobs/worker_fit_test.cc
+++ b/coltsfoot/placing/worker_fit_test.cc
@@ -1,4 +1,4 @@
-#include "coltsfoot/jobs/worker_fit.h"
+#include "coltsfoot/placing/worker_fit.h"
 
 #include <gtest/gtest.h>
 
--- a/coltsfoot/relocation/moves_under_way.h
+++ b/coltsfoot/relocation/moves_under_way.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "coltsfoot/jobs/job_table.h"
-#include "coltsfoot/jobs/placement.h"
+#include "coltsfoot/placing/placement.h"
 #include "coltsfoot/relocation/slow_runs.h"
 
 namespace coltsfoot::relocation {
--- a/coltsfoot/relocation/room_claims.h
+++ b/coltsfoot/relocation/room_claims.h
@@ -15,7 +15,7 @@
 #include <optional>
 #include <vector>
 
-#include "coltsfoot/jobs/job_urgency.h"
+#include "coltsfoot/placing/job_urgency.h"
 
 namespace coltsfoot::relocation {
 
--- a/coltsfoot/relocation/slow_runs.cc
+++ b/coltsfoot/relocation/slow_runs.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "coltsfoot/jobs/pacing.h"
+#include "coltsfoot/placing/pacing.h"
 
 namespace coltsfoot::relocation {
 namespace {
--- a/coltsfoot/relocation/slow_runs.h
+++ b/coltsfoot/relocation/slow_runs.h
@@ -24,8 +24,8 @@
 
 #include "coltsfoot/base/name_table.h"
 #include "coltsfoot/jobs/job_table.h"
-#include "coltsfoot/jobs/job_urgency.h"
-#include "coltsfoot/jobs/placement.h"
+#include "coltsfoot/placing/job_urgency.h"
+#include "coltsfoot/placing/placement.h"
 #include "coltsfoot/relocation/run_progress.h"
 
 namespace coltsfoot::relocation {
