--- a/coltsfoot/jobs/job_owner.h
+++ b/coltsfoot/jobs/job_owner.h
@@ -294,6 +294,8 @@
   void note_unplaced(const placement_request& request, std::uint32_t tasks);
   void observe_short_demand(time_point now);
   void note_starved(const job& j, time_point now);
+  bool is_runless(const job& j, time_point now) const;
+  bool is_held_back(const job& j, const job_urgency& urgency, time_point now) const;
   bool is_starved(const job& j, time_point now) const;
   bool much_room_is_free() const;
   void log_long_waits(time_point now) const;
--- a/coltsfoot/jobs/job_owner_placing.cc
+++ b/coltsfoot/jobs/job_owner_placing.cc
@@ -101,10 +101,22 @@
   }
 }
 
-bool job_owner::is_starved(const job& j, time_point now) const {
+// Whether nothing of a waiting job has run for long.
+bool job_owner::is_runless(const job& j, time_point now) const {
   const auto since = runless_since_.find(j.accepted.id);
-  return room_is_free_ && since != runless_since_.end() &&
-         now - since->second >= options_.starved_after;
+  return since != runless_since_.end() && now - since->second >= options_.starved_after;
+}
+
+// Whether first starts of the job's fill tasks wait for slow runs. Some of those may need a kind of
+// room that is never there, so that no job waits for them for long.
+bool job_owner::is_held_back(const job& j, const job_urgency& urgency, time_point now) const {
+  if (!claims_.hold_back(j.accepted.service, urgency)) return false;
+  const auto since = waiting_.find(j.accepted.id);
+  return since != waiting_.end() && now - since->second < options_.relocation.longest_hold;
+}
+
+bool job_owner::is_starved(const job& j, time_point now) const {
+  return room_is_free_ && is_runless(j, now);
 }
 
 // Whether less than half of the processors are in use of the listed workers that no evacuation
@@ -238,7 +250,8 @@
   const auto first = j.index_of({.occurrence = occurrence, .step = step});
   const auto last = first + j.accepted.spec.steps[step].count;
   const auto& spec = j.accepted.spec.steps[step];
-  const bool waits_for_slow_runs = spec.fill && claims_.go_before(urgency);
+  const bool held = spec.fill && is_held_back(j, urgency, now);
+  const bool runless = is_runless(j, now);
   auto request = request_for(j, occurrence, step);
   std::optional<worker_ranking> ranking;
   bool ranked = false;          // for the request as it is
@@ -248,7 +261,8 @@
     if (starts_left_ == 0) return;
     const bool restart = j.tasks[i].run > 0;
     const bool starved = spec.fill && is_starved(j, now) && !placed_starved;
-    if (waits_for_slow_runs && !restart && !starved) {
+    const bool first_of_runless = runless && !placed_starved;
+    if (held && !restart && !starved && !first_of_runless) {
       ++first_starts_held_;
       continue;
     }
--- a/coltsfoot/jobs/job_owner_relocation.cc
+++ b/coltsfoot/jobs/job_owner_relocation.cc
@@ -43,10 +43,11 @@
   if (!options.enabled() || now < next_relocation_) return;
   next_relocation_ = now + options.interval;
   slow_moves_.drop_settled(table_, links_, now);
+  claims_.clear();
   if (!granting_ || fenced_) return;
   const auto moves =
       slow_runs_.choose({links_, table_, model_, speeds_, correction_, wall_}, moves_left(), now);
-  claims_.renew(slow_runs_.without_room(), links_.size());
+  claims_.renew(slow_runs_.without_room(), slow_runs_.judged_workers());
   for (const auto& move : moves) {
     auto& link = links_.at(move.from);
     const auto& run = link.runs.at(move.key);
--- a/coltsfoot/relocation/room_claims.cc
+++ b/coltsfoot/relocation/room_claims.cc
@@ -12,14 +12,20 @@
 
 }  // namespace
 
-void room_claims::renew(std::vector<jobs::job_urgency> slow_runs, std::size_t workers) {
-  size_ = slow_runs.size();
-  last_before_.reset();
+void room_claims::renew(urgencies_by_service slow_runs, std::size_t workers) {
+  limits_.clear();
   const auto ignored = workers / workers_per_ignored_run;
-  if (slow_runs.size() <= ignored) return;
-  const auto at = slow_runs.begin() + static_cast<std::ptrdiff_t>(ignored);
-  std::nth_element(slow_runs.begin(), at, slow_runs.end());
-  last_before_ = *at;
+  for (auto& [service, urgencies] : slow_runs) {
+    if (urgencies.size() <= ignored) continue;
+    const auto at = urgencies.begin() + static_cast<std::ptrdiff_t>(ignored);
+    std::nth_element(urgencies.begin(), at, urgencies.end());
+    limits_.emplace(service, *at);
+  }
+}
+
+bool room_claims::hold_back(const service_id& service, const jobs::job_urgency& urgency) const {
+  const auto found = limits_.find(service);
+  return found != limits_.end() && found->second < urgency;
 }
 
 }  // namespace coltsfoot::relocation
--- a/coltsfoot/relocation/room_claims.h
+++ b/coltsfoot/relocation/room_claims.h
@@ -2,39 +2,40 @@
 //
 // Load it answers: more fill work than the workers can do at full speed. First starts would take
 // each place as soon as it is free, and runs that were started before would stay slow: a step ends
-// with its slowest run. A first start waits while more than a few slow runs of jobs that are more
-// urgent than its own find no room.
+// with its slowest run. A first start waits while more than a few slow runs of jobs of its service
+// that are more urgent than its own find no room.
 //
-// Data: the slow runs without room of the newest pass, by the urgency of their jobs.
+// Data: the slow runs for which the newest pass found no room, by service and urgency of their
+// jobs.
 //
-//   claims.renew(urgencies_of_slow_runs, links.size());
-//   if (claims.go_before(urgency)) continue;  // a first start of this urgency waits
+//   claims.renew(slow_runs_without_room, judged_workers);
+//   if (claims.hold_back(service, urgency)) continue;  // a first start waits
 #pragma once
 
 #include <cstddef>
-#include <optional>
+#include <map>
 #include <vector>
 
+#include "coltsfoot/base/ids.h"
 #include "coltsfoot/placing/job_urgency.h"
 
 namespace coltsfoot::relocation {
 
+// By service, the urgencies of the jobs of slow runs, one for each run.
+using urgencies_by_service = std::map<service_id, std::vector<jobs::job_urgency>>;
+
 class room_claims {
  public:
-  // Takes the urgencies of the jobs of slow runs that found no room among `workers`, one for each
-  // run.
-  void renew(std::vector<jobs::job_urgency> slow_runs, std::size_t workers);
-
-  // Whether a first start for a job of this urgency waits for them.
-  bool go_before(const jobs::job_urgency& urgency) const {
-    return last_before_ && *last_before_ < urgency;
-  }
+  // Takes the slow runs that found no room in a pass over so many workers.
+  void renew(urgencies_by_service slow_runs, std::size_t workers);
+  void clear() { limits_.clear(); }
 
-  std::size_t size() const { return size_; }
+  // Whether a first start for a job of this service and urgency waits.
+  bool hold_back(const service_id& service, const jobs::job_urgency& urgency) const;
 
  private:
-  std::size_t size_ = 0;
-  std::optional<jobs::job_urgency> last_before_;  // nothing while first starts need not wait
+  // Jobs that are less urgent than this wait.
+  std::map<service_id, jobs::job_urgency> limits_;
 };
 
 }  // namespace coltsfoot::relocation
--- a/coltsfoot/relocation/slow_runs.cc
+++ b/coltsfoot/relocation/slow_runs.cc
@@ -105,7 +105,7 @@
     const auto found = seeks ? find_target(fleet, entry, chosen, now) : target{};
     if (found.link == nullptr) {
       ++counts_.staying[seeks ? stay_reason::no_room : stay_reason::not_sought];
-      without_room_.push_back(entry.urgency);
+      if (seeks) without_room_[entry.owner->accepted.service].push_back(entry.urgency);
       continue;
     }
     chosen.push_back({.key = *entry.key,
@@ -132,7 +132,8 @@
                                                                   time_point now) {
   std::vector<slow_run> out;
   auto at = fleet.links.upper_bound(last_judged_);
-  for (auto left = std::min(options_.most_workers_judged, fleet.links.size()); left > 0; --left) {
+  judged_workers_ = std::min(options_.most_workers_judged, fleet.links.size());
+  for (auto left = judged_workers_; left > 0; --left) {
     if (at == fleet.links.end()) at = fleet.links.begin();
     judge_worker(fleet, at->second, now, out);
     last_judged_ = at->first;
--- a/coltsfoot/relocation/slow_runs.h
+++ b/coltsfoot/relocation/slow_runs.h
@@ -26,6 +26,7 @@
 #include "coltsfoot/jobs/job_table.h"
 #include "coltsfoot/placing/job_urgency.h"
 #include "coltsfoot/placing/placement.h"
+#include "coltsfoot/relocation/room_claims.h"
 #include "coltsfoot/relocation/run_progress.h"
 
 namespace coltsfoot::relocation {
@@ -41,11 +42,12 @@
   double margin = 1.5;           // estimated times are compared that stem from few reports
   duration least_gain{500};
   std::uint32_t most_moves_of_task = 3;
-  // Of a shard, whatever its size. A larger one may have one move under way for each of so many
-  // workers, as each holds the room of another one.
+  // Moves under way in a small shard. A larger one may have one for each `workers_per_move`
+  // workers, as each move holds the room of another worker.
   std::size_t most_under_way = 4;
   std::size_t workers_per_move = 4;
-  duration give_up{3'000};  // from the decision until the task is placed again
+  duration give_up{3'000};        // from the decision until the task is placed again
+  duration longest_hold{20'000};  // for which tasks of a job wait for slow runs of others
   // Bounds on the processor time of one pass.
   std::size_t most_workers_judged = 512;
   std::size_t most_rooms_compared = 8'192;
@@ -104,9 +106,11 @@
 
   // What became of the slow runs in the newest pass.
   const slow_run_counts& counts() const { return counts_; }
-  // Of the newest pass, the urgencies of the jobs of slow runs that should have moved, one for each
-  // run.
-  const std::vector<jobs::job_urgency>& without_room() const { return without_room_; }
+  // The slow runs for which the newest pass sought room and found none. Those that were not sought
+  // could not move now, whatever room there is.
+  const urgencies_by_service& without_room() const { return without_room_; }
+  // Workers that the newest pass judged.
+  std::size_t judged_workers() const { return judged_workers_; }
 
  private:
   struct slow_run {
@@ -145,7 +149,8 @@
 
   relocation_options options_;
   slow_run_counts counts_;
-  std::vector<jobs::job_urgency> without_room_;
+  urgencies_by_service without_room_;
+  std::size_t judged_workers_ = 0;
   worker_id last_judged_;
   worker_id last_target_;
   std::size_t rooms_left_ = 0;    // to compare in the present pass
--- a/coltsfoot/relocation/slow_runs_test.cc
+++ b/coltsfoot/relocation/slow_runs_test.cc
@@ -230,10 +230,12 @@
   EXPECT_EQ(staying(4), counts_by_reason{});
   EXPECT_EQ(finder.counts().moved, 1U);
   EXPECT_EQ(staying(0), (counts_by_reason{{stay_reason::not_sought, 1}}));
+  EXPECT_TRUE(finder.without_room().empty()) << "it could not move, whatever room there was";
   add_run("busy", second_, 20, 8);
   links_.at(worker_id{"spare"}).paced_at = now - duration{500};
   EXPECT_EQ(staying(4), (counts_by_reason{{stay_reason::no_room, 2}}));
   EXPECT_EQ(finder.counts().slow, 2U);
+  EXPECT_EQ(finder.without_room().at(service).size(), 2U);
   run.began = now - duration{500};
   links_.at(worker_id{"busy"}).runs.at(second_).moves = options_.most_moves_of_task;
   EXPECT_EQ(staying(4), (counts_by_reason{{stay_reason::young, 1}, {stay_reason::moved_often, 1}}));
